--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+GOFUMPT := mvdan.cc/gofumpt@v0.12.0
+SCENARIO ?= all
+POLICY ?= off,on
+MINUTES ?= 5
+SEED ?= 1
+
+.PHONY: build demo test lint measure soak capacity generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo:
+	go run ./cmd/demo
+
+test:
+	go test -timeout 9m ./...
+
+lint:
+	go run $(GOFUMPT) -l . | tee /dev/stderr | (! grep -q .)
+	go vet ./...
+	go run $(GOLANGCI) run ./...
+
+measure:
+	go run ./cmd/measure --scenario $(SCENARIO) --policy $(POLICY) --seed $(SEED)
+
+soak:
+	go test -timeout 0 -count 1 ./internal/policy/... ./internal/request/... ./internal/cluster/... -rapid.steps=200 -rapid.checks=$$(($(MINUTES) * 20000)) -rapid.seed=$(SEED)
+
+capacity:
+	go run ./cmd/capacity
+
+generate:
+	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative internal/cluster/messenger/control.proto
--- /dev/null
+++ b/call.go
@@ -0,0 +1,89 @@
+package chivegauge
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// HeaderField is one header of a request or an answer.
+type HeaderField struct {
+	Name  string
+	Value string
+}
+
+// Call is a request on its way through the nodes.
+type Call struct {
+	RequestID      string
+	AttemptID      string
+	Route          string
+	Service        string
+	Workspace      string
+	KeyID          string
+	Importance     Importance
+	Idempotent     bool
+	IdempotencyKey string
+	Deadline       time.Time
+	Tokens         int
+	Depth          int
+	Method         string
+	Target         string
+	Header         []HeaderField
+	Body           []byte
+}
+
+// WithAttempt returns the call under an attempt ID and with the tokens lent to it.
+func (c Call) WithAttempt(id string, tokens int) Call {
+	c.AttemptID = id
+	c.Tokens = tokens
+	return c
+}
+
+// Root returns a hash of the request ID, the same at each hop of one call tree.
+func (c Call) Root() uint64 {
+	return xxhash.Sum64String(c.RequestID)
+}
+
+// Budget returns the time left at now, never below zero.
+func (c Call) Budget(now time.Time) time.Duration {
+	return max(0, c.Deadline.Sub(now))
+}
+
+// Answer is a whole answer of a backend server, or a refusal made by a node.
+type Answer struct {
+	AttemptID string
+	Status    int
+	Header    []HeaderField
+	Body      []byte
+	Tokens    int
+	Levels    []ServiceLevel
+	Refusal   *Refusal
+}
+
+// ServiceLevel is the admission level of a service as an answer carries it upstream.
+type ServiceLevel struct {
+	Service string
+	Level   int
+}
+
+// RefusalAnswer returns the answer that carries a refusal and gives back the tokens.
+func RefusalAnswer(attemptID string, r *Refusal, tokens int) Answer {
+	return Answer{
+		AttemptID: attemptID,
+		Status:    r.Status(),
+		Refusal:   r,
+		Tokens:    tokens,
+	}
+}
+
+// WithLevels returns the answer with other admission levels.
+func (a Answer) WithLevels(levels []ServiceLevel) Answer {
+	a.Levels = levels
+	return a
+}
+
+// WithTokens returns the answer with another number of unspent retry tokens.
+func (a Answer) WithTokens(n int) Answer {
+	a.Tokens = n
+	return a
+}
--- /dev/null
+++ b/cmd/chivegauge/main.go
@@ -0,0 +1,12 @@
+// Command chivegauge runs a node or one of the operators' tools.
+package main
+
+import (
+	"os"
+
+	"github.com/chivegauge/chivegauge/internal/command/runner"
+)
+
+func main() {
+	os.Exit(runner.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/standin-store/main.go
@@ -0,0 +1,32 @@
+// Command standin-store serves a stand-in object store for tests and the demo.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/chivegauge/chivegauge/internal/standin/storekeeper"
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Listen string `long:"listen" default:"127.0.0.1:7900" description:"address to serve on"`
+}
+
+func main() {
+	opts := options{}
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	srv := &http.Server{
+		Addr:              opts.Listen,
+		Handler:           storekeeper.New(),
+		ReadHeaderTimeout: 5 * time.Second,
+	}
+	if err := srv.ListenAndServe(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/app/supervisor/control.go
@@ -0,0 +1,58 @@
+package supervisor
+
+import (
+	"context"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/dialer"
+	"github.com/chivegauge/chivegauge/internal/cluster/heartbeater"
+	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
+	"github.com/chivegauge/chivegauge/internal/request/executor"
+	"github.com/chivegauge/chivegauge/internal/request/tracker"
+	"github.com/twitchtv/twirp"
+)
+
+// control answers the control calls of other nodes by the parts that they concern.
+type control struct {
+	heartbeater.Heartbeater
+	executor executor.Executor
+}
+
+// Draw gives rate tokens from the slots kept here.
+func (c *control) Draw(context.Context, *messenger.DrawRequest) (*messenger.DrawResponse, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "no slots are kept here")
+}
+
+// Cancel ends an attempt that its sender no longer waits for.
+func (c *control) Cancel(_ context.Context, r *messenger.CancelRequest) (*messenger.CancelResponse, error) {
+	attempt, err := tracker.ParseAttempt(r.GetAttemptID())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("AttemptID", err.Error())
+	}
+	c.executor.Cancel(attempt)
+	return &messenger.CancelResponse{}, nil
+}
+
+// Recall says what is remembered of an idempotency key.
+func (c *control) Recall(context.Context, *messenger.RecallRequest) (*messenger.RecallResponse, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "no keys are kept here")
+}
+
+// Blame takes in news of a request that ended with its backend server's death.
+func (c *control) Blame(context.Context, *messenger.BlameRequest) (*messenger.BlameResponse, error) {
+	return &messenger.BlameResponse{}, nil
+}
+
+// canceller tells peers of attempts that are no longer waited for.
+type canceller struct {
+	dialer dialer.Dialer
+}
+
+// Cancel tells the member; a lost message only lets the attempt run to its deadline.
+func (c *canceller) Cancel(ctx context.Context, m chivegauge.Member, attemptID string) {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	_, _ = c.dialer.Control(m.Address).Cancel(ctx, &messenger.CancelRequest{
+		AttemptID: attemptID,
+	})
+}
--- /dev/null
+++ b/internal/app/supervisor/gauges.go
@@ -0,0 +1,65 @@
+package supervisor
+
+import "github.com/chivegauge/chivegauge/internal/telemetry/meter"
+
+// gauges registers the values that are read when the metrics are.
+func (v *supervisor) gauges() error {
+	return v.parts.meter.Observe(
+		meter.Gauge{
+			Name:        "chivegauge.backend.running",
+			Description: "Requests running on the backend server",
+			Read:        func() float64 { return float64(v.parts.executor.Load().Running) },
+		},
+		meter.Gauge{
+			Name:        "chivegauge.backend.waiting",
+			Description: "Requests waiting for the backend server",
+			Read:        func() float64 { return float64(v.parts.executor.Load().Waiting) },
+		},
+		meter.Gauge{
+			Name:        "chivegauge.backend.limit",
+			Description: "Requests that the backend server may run at once",
+			Read:        func() float64 { return float64(v.parts.executor.Load().Limit) },
+		},
+		meter.Gauge{
+			Name:        "chivegauge.configuration.revision",
+			Description: "Revision of the configuration in force",
+			Read:        func() float64 { return float64(v.parts.config.Configuration().Revision) },
+		},
+		meter.Gauge{
+			Name:        "chivegauge.members",
+			Description: "Members known, the dead included",
+			Read:        func() float64 { return float64(len(v.parts.fleet.Members())) },
+		},
+		meter.Gauge{
+			Name:        "chivegauge.attempts.first",
+			Description: "First attempts sent since the start",
+			Read:        v.firstAttempts,
+		},
+		meter.Gauge{
+			Name:        "chivegauge.attempts.extra",
+			Description: "Extra attempts sent since the start",
+			Read:        v.extraAttempts,
+		},
+		meter.Gauge{
+			Name:        "chivegauge.control.bytes",
+			Description: "Bytes of control messages sent and received on connections opened here",
+			Unit:        "By",
+			Read:        v.controlBytes,
+		},
+	)
+}
+
+func (v *supervisor) firstAttempts() float64 {
+	first, _ := v.parts.dispatch.Attempts()
+	return float64(first)
+}
+
+func (v *supervisor) extraAttempts() float64 {
+	_, extra := v.parts.dispatch.Attempts()
+	return float64(extra)
+}
+
+func (v *supervisor) controlBytes() float64 {
+	sent, received := v.parts.dialer.Bytes()
+	return float64(sent + received)
+}
--- /dev/null
+++ b/internal/app/supervisor/parts.go
@@ -0,0 +1,165 @@
+package supervisor
+
+import (
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/announcer"
+	"github.com/chivegauge/chivegauge/internal/cluster/configurer"
+	"github.com/chivegauge/chivegauge/internal/cluster/dialer"
+	"github.com/chivegauge/chivegauge/internal/cluster/gossiper"
+	"github.com/chivegauge/chivegauge/internal/cluster/heartbeater"
+	"github.com/chivegauge/chivegauge/internal/cluster/planner"
+	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
+	"github.com/chivegauge/chivegauge/internal/cluster/surveyor"
+	"github.com/chivegauge/chivegauge/internal/cluster/watcher"
+	"github.com/chivegauge/chivegauge/internal/platform/loader"
+	"github.com/chivegauge/chivegauge/internal/platform/storer"
+	"github.com/chivegauge/chivegauge/internal/platform/timekeeper"
+	"github.com/chivegauge/chivegauge/internal/policy/admitter"
+	"github.com/chivegauge/chivegauge/internal/policy/budgeter"
+	"github.com/chivegauge/chivegauge/internal/policy/limiter"
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
+	"github.com/chivegauge/chivegauge/internal/policy/scheduler"
+	"github.com/chivegauge/chivegauge/internal/request/dispatcher"
+	"github.com/chivegauge/chivegauge/internal/request/executor"
+	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
+	"github.com/chivegauge/chivegauge/internal/request/hopper"
+	"github.com/chivegauge/chivegauge/internal/request/rater"
+	"github.com/chivegauge/chivegauge/internal/request/tracker"
+	"github.com/chivegauge/chivegauge/internal/telemetry/meter"
+	"github.com/rs/zerolog"
+)
+
+const (
+	cancelTimeout   = time.Second
+	unlimitedSlots  = 100000
+	perHopAttempts  = 3
+	storeOfflineMax = 30 * time.Second
+)
+
+// parts are what a node is built of, below its listeners.
+type parts struct {
+	store     storer.Store
+	dialer    dialer.Dialer
+	fleet     heartbeater.Heartbeater
+	config    configurer.Configurer
+	announcer announcer.Announcer
+	watcher   watcher.Watcher
+	planner   planner.Planner
+	surveyor  surveyor.Surveyor
+	executor  executor.Executor
+	hopper    hopper.Hopper
+	dispatch  dispatcher.Dispatcher
+	rates     rater.Rater
+	meter     meter.Meter
+}
+
+func newParts(s loader.Settings, sec security, log zerolog.Logger) (*parts, error) {
+	m, err := meter.New()
+	if err != nil {
+		return nil, err
+	}
+	p := &parts{
+		meter:    m,
+		store:    storer.New(s.Store.URL, loader.Millis(s.Store.TimeoutMs), loader.Millis(s.Store.WatchMs)),
+		dialer:   dialer.New(sec.peerClient),
+		config:   configurer.New(),
+		executor: newExecutor(s),
+		rates:    rater.NewUnlimited(),
+	}
+	docs := replicator.New()
+	docs.Register(configurer.DocumentName, p.config.Accept)
+	p.fleet = newFleet(s, p.dialer, docs, log)
+	refresh := loader.Millis(s.Store.RefreshMs)
+	p.announcer = announcer.New(p.store, p.fleet, refresh)
+	p.watcher = watcher.New(p.store, p.fleet, configurer.DocumentName, refresh)
+	p.planner = planner.New(p.store, configurer.DocumentName, p.fleet)
+	p.surveyor = surveyor.New(p.dialer)
+	p.hopper = newHopper(s, sec, p.dialer)
+	p.dispatch = newDispatcher(s, p)
+	return p, nil
+}
+
+func newFleet(s loader.Settings, d dialer.Dialer, docs replicator.Replicator, log zerolog.Logger) heartbeater.Heartbeater {
+	now := timekeeper.Now()
+	self := chivegauge.Member{
+		Address:     s.Listeners.Peer.Address,
+		Service:     s.Service,
+		Zone:        s.AvailabilityZone,
+		Region:      s.Region,
+		Incarnation: chivegauge.FirstIncarnation(now.UnixMilli()),
+	}
+	table := gossiper.NewTable(now, self, loader.Millis(s.Membership.SuspectMs))
+	cfg := heartbeater.Config{
+		Period:  loader.Millis(s.Membership.HeartbeatMs),
+		Timeout: loader.Millis(s.Membership.TimeoutMs),
+	}
+	return heartbeater.New(cfg, timekeeper.Now, table, d, docs, log)
+}
+
+func newExecutor(s loader.Settings) executor.Executor {
+	b := s.BackendServer
+	opts := []gatekeeper.Option{
+		gatekeeper.WithMaxWait(loader.Millis(s.Limits.QueueMaxMs)),
+	}
+	if s.Policy.Admission {
+		opts = append(opts, gatekeeper.WithAdmission(admitter.NewController()))
+	}
+	gate := gatekeeper.New(timekeeper.Now, newLimiter(s), scheduler.New(s.Limits.QueueMax), opts...)
+	backend := executor.NewBackend(b.URL, timekeeper.Now, b.Connections, int64(s.Limits.BodyMaxBytes))
+	attempts := tracker.New(loader.Millis(b.AnswerRetainMs), b.TrackedAttempts, b.AnswerMaxBytes)
+	return executor.New(s.Service, timekeeper.Now, gate, backend, attempts, loader.Millis(b.CancelGraceMs))
+}
+
+func newLimiter(s loader.Settings) limiter.Limiter {
+	bounds := limiter.Bounds{
+		Initial: s.Limits.SlotsInitial,
+		Max:     s.Limits.SlotsMax,
+	}
+	var l limiter.Limiter
+	switch s.Policy.Limit {
+	case "Static":
+		l = limiter.NewStatic(s.Limits.SlotsInitial)
+	case "Gradient":
+		l = limiter.NewGradient(bounds)
+	case "Probe":
+		l = limiter.NewProbe(bounds)
+	default:
+		return limiter.NewStatic(unlimitedSlots)
+	}
+	if s.BackendServer.ColdStartMs == 0 {
+		return l
+	}
+	return limiter.NewRamp(l, timekeeper.Now(), loader.Millis(s.BackendServer.ColdStartMs))
+}
+
+func newHopper(s loader.Settings, sec security, d dialer.Dialer) hopper.Hopper {
+	var opts []hopper.Option
+	if sec.peerClient != nil {
+		opts = append(opts, hopper.WithTLS(sec.peerClient))
+	}
+	silence := loader.Millis(s.Membership.SilenceMs)
+	c := &canceller{
+		dialer: d,
+	}
+	return hopper.New(timekeeper.Now, silence, int64(s.Limits.BodyMaxBytes), c, opts...)
+}
+
+func newDispatcher(s loader.Settings, p *parts) dispatcher.Dispatcher {
+	opts := []dispatcher.Option{
+		dispatcher.WithBudget(budgeter.New(s.Retries.Ratio, s.Retries.Reserve)),
+	}
+	if s.Policy.Retries == "PerHop" {
+		opts = append(opts, dispatcher.WithRule(dispatcher.HopRule{
+			Attempts: perHopAttempts,
+		}))
+	}
+	if s.Policy.Routing == "Observed" {
+		opts = append(opts, dispatcher.WithPicker(picker.New(s.AvailabilityZone, s.Region)))
+	}
+	if s.Policy.Admission {
+		opts = append(opts, dispatcher.WithBook(admitter.NewBook()))
+	}
+	return dispatcher.New(timekeeper.Now, p.fleet, p.hopper, p.executor, opts...)
+}
--- /dev/null
+++ b/internal/cluster/announcer/announcer.go
@@ -0,0 +1,115 @@
+package announcer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/platform/storer"
+	"github.com/go-faster/errors"
+)
+
+const (
+	prefix     = "nodes/"
+	retryFirst = 500 * time.Millisecond
+	retryMax   = 15 * time.Second
+)
+
+// Membership is what the announcer tells of and adds to.
+type Membership interface {
+	Self() chivegauge.Member
+	Learn(m chivegauge.Member)
+	Lonely() bool
+}
+
+// Announcer keeps the node's announcement in the store.
+type Announcer interface {
+	// Serve announces the node and refreshes the announcement until the context ends.
+	Serve(ctx context.Context) error
+	// Withdraw removes the announcement.
+	Withdraw(ctx context.Context) error
+}
+
+type announcer struct {
+	store   storer.Store
+	members Membership
+	refresh time.Duration
+}
+
+// New returns an announcer that refreshes the announcement in the given period.
+func New(s storer.Store, m Membership, refresh time.Duration) Announcer {
+	return &announcer{
+		store:   s,
+		members: m,
+		refresh: refresh,
+	}
+}
+
+// Serve announces the node, reads the others once, and refreshes slowly.
+func (a *announcer) Serve(ctx context.Context) error {
+	backoff := retryFirst
+	for {
+		wait := a.refresh
+		if err := a.round(ctx); err != nil {
+			wait = backoff
+			backoff = min(retryMax, 2*backoff)
+		} else {
+			backoff = retryFirst
+		}
+		if a.members.Lonely() {
+			wait = min(wait, retryMax)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (a *announcer) round(ctx context.Context) error {
+	if err := a.announce(ctx); err != nil {
+		return err
+	}
+	if !a.members.Lonely() {
+		return nil
+	}
+	list, err := a.store.List(ctx, prefix)
+	if err != nil {
+		return errors.Wrap(err, "list nodes")
+	}
+	for _, o := range list {
+		m := chivegauge.Member{}
+		if err := json.Unmarshal(o.Value, &m); err != nil {
+			continue
+		}
+		a.members.Learn(m)
+	}
+	return nil
+}
+
+func (a *announcer) announce(ctx context.Context) error {
+	self := a.members.Self()
+	value, err := json.Marshal(self)
+	if err != nil {
+		return errors.Wrap(err, "encode announcement")
+	}
+	version := uint64(0)
+	o, err := a.store.Get(ctx, prefix+self.Address)
+	switch {
+	case err == nil:
+		version = o.Version
+	case !errors.Is(err, storer.ErrNotFound):
+		return errors.Wrap(err, "read announcement")
+	}
+	if _, err := a.store.Put(ctx, prefix+self.Address, value, version); err != nil {
+		return errors.Wrap(err, "write announcement")
+	}
+	return nil
+}
+
+// Withdraw removes the announcement.
+func (a *announcer) Withdraw(ctx context.Context) error {
+	return a.store.Delete(ctx, prefix+a.members.Self().Address)
+}
--- /dev/null
+++ b/internal/cluster/configurer/configurer.go
@@ -0,0 +1,131 @@
+package configurer
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strings"
+	"sync/atomic"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
+	"github.com/go-faster/errors"
+)
+
+// DocumentName is the key of the configuration in the store.
+const DocumentName = "configuration"
+
+// KeyPrefix begins each key of a workspace.
+const KeyPrefix = "cg"
+
+// Configurer holds the configuration in force.
+type Configurer interface {
+	// Accept takes a newer document into force, or returns an error.
+	Accept(d replicator.Document) error
+	// Configuration returns the configuration in force.
+	Configuration() chivegauge.Configuration
+	// Version returns the store's version of the configuration in force.
+	Version() uint64
+	// Workspace returns the workspace of a key, or a refusal.
+	Workspace(key string) (workspace, keyID string, refusal *chivegauge.Refusal)
+	// Listen registers a function that is called with each configuration taken into force.
+	Listen(f func(chivegauge.Configuration))
+}
+
+type owner struct {
+	workspace string
+	hash      []byte
+}
+
+type view struct {
+	version uint64
+	config  chivegauge.Configuration
+	keys    map[string]owner
+}
+
+type configurer struct {
+	view      atomic.Pointer[view]
+	listeners []func(chivegauge.Configuration)
+}
+
+// New returns a configurer without routes and workspaces.
+func New() Configurer {
+	c := &configurer{}
+	c.view.Store(&view{})
+	return c
+}
+
+// Listen registers a listener; it must be called before the first Accept.
+func (c *configurer) Listen(f func(chivegauge.Configuration)) {
+	c.listeners = append(c.listeners, f)
+}
+
+// Accept takes a newer document into force.
+func (c *configurer) Accept(d replicator.Document) error {
+	config, err := chivegauge.DecodeConfiguration(d.Value)
+	if err != nil {
+		return err
+	}
+	if old := c.view.Load(); config.Revision < old.config.Revision {
+		return errors.Errorf("revision %d is below %d", config.Revision, old.config.Revision)
+	}
+	v := &view{
+		version: d.Version,
+		config:  config,
+		keys:    map[string]owner{},
+	}
+	for _, w := range config.Workspaces {
+		for _, k := range w.Keys {
+			hash, err := hex.DecodeString(k.Hash)
+			if err != nil {
+				return errors.Wrapf(err, "hash of key %s", k.ID)
+			}
+			v.keys[k.ID] = owner{
+				workspace: w.Name,
+				hash:      hash,
+			}
+		}
+	}
+	c.view.Store(v)
+	for _, f := range c.listeners {
+		f(config)
+	}
+	return nil
+}
+
+// Configuration returns the configuration in force.
+func (c *configurer) Configuration() chivegauge.Configuration {
+	return c.view.Load().config
+}
+
+// Version returns the store's version of the configuration in force.
+func (c *configurer) Version() uint64 {
+	return c.view.Load().version
+}
+
+// Workspace returns the workspace and the ID of a key, compared in constant time.
+func (c *configurer) Workspace(key string) (string, string, *chivegauge.Refusal) {
+	if key == "" {
+		return "", "", chivegauge.Refuse(chivegauge.CodeKeyMissing, "no key came with the request")
+	}
+	id, hash := SplitKey(key)
+	o, ok := c.view.Load().keys[id]
+	if !ok {
+		o.hash = make([]byte, sha256.Size)
+	}
+	same := subtle.ConstantTimeCompare(o.hash, hash) == 1
+	if !ok || !same {
+		return "", "", chivegauge.Refuse(chivegauge.CodeKeyUnknown, "the key is not known or was withdrawn")
+	}
+	return o.workspace, id, nil
+}
+
+// SplitKey returns the public ID of a key and the hash of the whole key.
+func SplitKey(key string) (string, []byte) {
+	sum := sha256.Sum256([]byte(key))
+	parts := strings.SplitN(key, "_", 3)
+	if len(parts) != 3 || parts[0] != KeyPrefix {
+		return "", sum[:]
+	}
+	return parts[1], sum[:]
+}
--- /dev/null
+++ b/internal/cluster/dialer/dialer.go
@@ -0,0 +1,100 @@
+package dialer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
+)
+
+const (
+	idleTimeout  = 30 * time.Second
+	idlePerPeer  = 2
+	idleTotal    = 256
+	dialTimeout  = time.Second
+	schemePlain  = "http://"
+	schemeSecure = "https://"
+)
+
+// Dialer makes control clients and counts the bytes that they carry.
+type Dialer interface {
+	// Control returns a client of the node at the address.
+	Control(address string) messenger.Control
+	// Bytes returns the bytes sent and received since the start.
+	Bytes() (sent, received uint64)
+}
+
+type dialer struct {
+	scheme   string
+	client   *http.Client
+	sent     atomic.Uint64
+	received atomic.Uint64
+}
+
+// New returns a dialer; a nil cfg means plaintext.
+func New(cfg *tls.Config) Dialer {
+	d := &dialer{
+		scheme: schemePlain,
+	}
+	if cfg != nil {
+		d.scheme = schemeSecure
+	}
+	d.client = &http.Client{
+		Transport: &http.Transport{
+			TLSClientConfig:     cfg,
+			DialContext:         d.dial,
+			MaxIdleConnsPerHost: idlePerPeer,
+			MaxIdleConns:        idleTotal,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+	}
+	return d
+}
+
+func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	nd := &net.Dialer{
+		Timeout: dialTimeout,
+	}
+	conn, err := nd.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{
+		Conn:   conn,
+		dialer: d,
+	}, nil
+}
+
+// Control returns a client of the node at the address.
+func (d *dialer) Control(address string) messenger.Control {
+	return messenger.NewControlProtobufClient(d.scheme+address, d.client)
+}
+
+// Bytes returns the bytes sent and received.
+func (d *dialer) Bytes() (uint64, uint64) {
+	return d.sent.Load(), d.received.Load()
+}
+
+type countedConn struct {
+	net.Conn
+	dialer *dialer
+}
+
+// Read counts the bytes received.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.dialer.received.Add(uint64(n))
+	return n, err
+}
+
+// Write counts the bytes sent.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.dialer.sent.Add(uint64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/cluster/dialer/doc.go
@@ -0,0 +1,2 @@
+// Package dialer makes control clients of other nodes.
+package dialer
--- /dev/null
+++ b/internal/cluster/messenger/doc.go
@@ -0,0 +1,3 @@
+// Package messenger holds the control messages between nodes and their
+// generated client and server.
+package messenger
--- /dev/null
+++ b/internal/cluster/planner/effect.go
@@ -0,0 +1,88 @@
+package planner
+
+import (
+	"fmt"
+
+	"github.com/chivegauge/chivegauge"
+)
+
+// effects says what the change is expected to do, and what the operator should know first.
+func effects(before, after chivegauge.Configuration, intents []Intent, m Measured) (expected, warnings []string) {
+	for _, i := range intents {
+		switch {
+		case i.Leave != "":
+			e, w := departEffect(after, m, i.Leave)
+			expected = append(expected, e...)
+			warnings = append(warnings, w...)
+		case i.Gone != "":
+			expected = append(expected, "the rate slots that "+i.Gone+" kept are given to other nodes")
+			warnings = append(warnings, "if "+i.Gone+" is only cut off or paused, its rate slots could be spent twice: stop it first")
+		case i.WithdrawKey != nil:
+			expected = append(expected, "callers with key "+i.WithdrawKey.ID+" are refused as not run within 2 s")
+			if w, ok := after.Workspace(i.WithdrawKey.Workspace); ok && len(w.Keys) == 0 {
+				warnings = append(warnings, "workspace "+w.Name+" has no key left")
+			}
+		case i.SetWorkspace != nil:
+			e, w := rateEffect(before, *i.SetWorkspace)
+			expected = append(expected, e...)
+			warnings = append(warnings, w...)
+		case i.SetRoute != nil:
+			if !serves(m, i.SetRoute.Service) {
+				warnings = append(warnings, "no living backend server serves "+i.SetRoute.Service)
+			}
+		}
+	}
+	return expected, warnings
+}
+
+func departEffect(after chivegauge.Configuration, m Measured, instance string) (expected, warnings []string) {
+	service := ""
+	left := 0
+	total := 0
+	for _, member := range m.Members {
+		if member.Address == instance {
+			service = member.Service
+		}
+	}
+	if service == "" {
+		return nil, []string{"no member has the address " + instance}
+	}
+	for _, member := range m.Members {
+		if member.Service != service || !member.Serving() {
+			continue
+		}
+		total++
+		if !after.Departed(member.Address) {
+			left++
+		}
+	}
+	expected = append(expected, fmt.Sprintf("service %s keeps %d of %d backend servers", service, left, total))
+	if left == 0 {
+		warnings = append(warnings, "service "+service+" would have no backend server: each of its requests would be refused as not run")
+	}
+	return expected, warnings
+}
+
+func rateEffect(before chivegauge.Configuration, w WorkspaceIntent) (expected, warnings []string) {
+	have, ok := before.Workspace(w.Name)
+	if !ok {
+		return []string{"workspace " + w.Name + " is served once a key is given to it"}, nil
+	}
+	if w.RatePerSecond < have.RatePerSecond {
+		cut := have.RatePerSecond - w.RatePerSecond
+		warnings = append(warnings, fmt.Sprintf("workspace %s may send %g a second less; what is above is refused as not run", w.Name, cut))
+	}
+	if w.Burst < 2*float64(have.Spread) {
+		warnings = append(warnings, fmt.Sprintf("the burst is spread over %d slots, fewer than 2 requests each", have.Spread))
+	}
+	return expected, warnings
+}
+
+func serves(m Measured, service string) bool {
+	for _, member := range m.Members {
+		if member.Service == service && member.Serving() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/cluster/planner/plan.go
@@ -0,0 +1,132 @@
+package planner
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/go-faster/errors"
+)
+
+// Plan is what confirming a list of intents would do.
+type Plan struct {
+	BaseRevision uint64
+	ChangeID     string
+	Intents      []Intent
+	Changes      []string
+	Effects      []string
+	Warnings     []string
+}
+
+// Measured is what the fleet's load says about the subject of an intent.
+type Measured struct {
+	Members []chivegauge.Member
+}
+
+// StaleError is returned when the configuration changed since a plan was made.
+type StaleError struct {
+	Base    uint64
+	Present uint64
+	Since   []chivegauge.AuditEntry
+}
+
+// Error names the changes made since the plan's base.
+func (e *StaleError) Error() string {
+	s := fmt.Sprintf("the configuration is at revision %d, the plan was made on %d; since then:", e.Present, e.Base)
+	for _, a := range e.Since {
+		s += fmt.Sprintf(" [%d by %s: %s]", a.Revision, a.Operator, a.Summary)
+	}
+	return s
+}
+
+// Make returns the plan of the intents on the configuration, or an error that says which intent can't be carried out.
+func Make(c chivegauge.Configuration, intents []Intent, m Measured, changeID string) (Plan, error) {
+	next, changes, err := applyAll(c, intents)
+	if err != nil {
+		return Plan{}, err
+	}
+	effects, warnings := effects(c, next, intents, m)
+	return Plan{
+		BaseRevision: c.Revision,
+		ChangeID:     changeID,
+		Intents:      intents,
+		Changes:      changes,
+		Effects:      effects,
+		Warnings:     warnings,
+	}, nil
+}
+
+func applyAll(c chivegauge.Configuration, intents []Intent) (chivegauge.Configuration, []string, error) {
+	changes := make([]string, 0, len(intents))
+	for n, i := range intents {
+		next, line, err := i.apply(c)
+		if err != nil {
+			return c, nil, errors.Wrapf(err, "intent %d", n+1)
+		}
+		c = next
+		changes = append(changes, line)
+	}
+	if err := c.Validate(); err != nil {
+		return c, nil, err
+	}
+	return c, changes, nil
+}
+
+// Apply returns the configuration with the plan carried out and audited, or a StaleError.
+func Apply(now time.Time, c chivegauge.Configuration, p Plan, operator string) (chivegauge.Configuration, error) {
+	if c.Revision != p.BaseRevision {
+		return c, &StaleError{
+			Base:    p.BaseRevision,
+			Present: c.Revision,
+			Since:   since(c.Audit, p.BaseRevision),
+		}
+	}
+	next, changes, err := applyAll(c, p.Intents)
+	if err != nil {
+		return c, err
+	}
+	next.Revision = c.Revision + 1
+	next.ChangeID = p.ChangeID
+	audit := make([]chivegauge.AuditEntry, 0, len(c.Audit)+1)
+	audit = append(audit, c.Audit[max(0, len(c.Audit)+1-chivegauge.AuditLimit):]...)
+	audit = append(audit, chivegauge.AuditEntry{
+		Revision: next.Revision,
+		ChangeID: p.ChangeID,
+		At:       now,
+		Operator: operator,
+		Summary:  join(changes),
+	})
+	next.Audit = audit
+	return next, nil
+}
+
+// Applied reports whether the configuration holds the change of the plan.
+func Applied(c chivegauge.Configuration, p Plan) (uint64, bool) {
+	for _, a := range c.Audit {
+		if a.ChangeID == p.ChangeID {
+			return a.Revision, true
+		}
+	}
+	return 0, false
+}
+
+func since(audit []chivegauge.AuditEntry, base uint64) []chivegauge.AuditEntry {
+	var list []chivegauge.AuditEntry
+	for _, a := range audit {
+		if a.Revision > base {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+func join(lines []string) string {
+	s := ""
+	for n, line := range lines {
+		if n > 0 {
+			s += "; "
+		}
+		s += line
+	}
+	return s
+}
--- /dev/null
+++ b/internal/command/runner/doc.go
@@ -0,0 +1,3 @@
+// Package runner is the command line: the node itself and the tools of
+// operators.
+package runner
--- /dev/null
+++ b/internal/command/runner/node.go
@@ -0,0 +1,68 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+
+	"github.com/chivegauge/chivegauge/internal/app/supervisor"
+	"github.com/chivegauge/chivegauge/internal/platform/loader"
+	"github.com/rs/zerolog"
+)
+
+type settingsOptions struct {
+	Settings string `long:"settings" short:"s" required:"true" description:"settings file (YAML)"`
+}
+
+func (o settingsOptions) load() (loader.Settings, error) {
+	s, err := loader.Load(o.Settings)
+	if err != nil {
+		return s, &exitError{
+			code: ExitUsage,
+			err:  err,
+		}
+	}
+	return s, nil
+}
+
+type nodeCommand struct {
+	settingsOptions
+	env *environment
+}
+
+// Execute runs the node until it is told to stop.
+func (c *nodeCommand) Execute([]string) error {
+	s, err := c.load()
+	if err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return err
+	}
+	log := zerolog.New(c.env.err).Level(level).With().Timestamp().Str("Node", s.Listeners.Peer.Address).Logger()
+	node, err := supervisor.New(s, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return node.Run(ctx)
+}
+
+type checkCommand struct {
+	settingsOptions
+	env *environment
+}
+
+// Execute checks the settings file.
+func (c *checkCommand) Execute([]string) error {
+	s, err := c.load()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.env.out, "%s: settings of the node at %s (service %s, availability zone %s) are valid\n",
+		c.Settings, s.Listeners.Peer.Address, s.Service, s.AvailabilityZone)
+	return err
+}
--- /dev/null
+++ b/internal/command/runner/runner.go
@@ -0,0 +1,118 @@
+package runner
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// The exit codes of the program.
+const (
+	ExitDone    = 0
+	ExitFailed  = 1
+	ExitUsage   = 2
+	ExitStale   = 3
+	ExitUnknown = 4
+	ExitRefused = 5
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// environment is where commands write.
+type environment struct {
+	out io.Writer
+	err io.Writer
+}
+
+// exitError carries the exit code of a failed command.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error returns the cause.
+func (e *exitError) Error() string {
+	return e.err.Error()
+}
+
+// Run carries out the command in args and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	env := &environment{
+		out: out,
+		err: errOut,
+	}
+	parser := flags.NewNamedParser("chivegauge", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Overload control for service call graphs: one node beside each backend server.\n" +
+		"Exit codes: 0 done, 1 failed, 2 usage or settings, 3 the plan is stale, 4 outcome unknown, 5 credential refused."
+	if err := addCommands(parser, env); err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return ExitFailed
+	}
+	_, err := parser.ParseArgs(args)
+	return env.exit(err)
+}
+
+func addCommands(p *flags.Parser, env *environment) error {
+	remote := func() remoteOptions {
+		return remoteOptions{
+			env: env,
+		}
+	}
+	commands := []struct {
+		name  string
+		short string
+		data  any
+	}{
+		{"node", "Run the node beside a backend server", &nodeCommand{env: env}},
+		{"check", "Check a settings file and name each fault", &checkCommand{env: env}},
+		{"plan", "Print the plan of the intents in a file", &planCommand{remoteOptions: remote()}},
+		{"confirm", "Apply a plan if its base still holds", &confirmCommand{remoteOptions: remote()}},
+		{"status", "Show what each member has in force", &statusCommand{remoteOptions: remote()}},
+		{"audit", "Show the audit trail of changes", &auditCommand{remoteOptions: remote()}},
+		{"version", "Print the version", &versionCommand{env: env}},
+	}
+	for _, c := range commands {
+		if _, err := p.AddCommand(c.name, c.short, c.short+".", c.data); err != nil {
+			return errors.Wrapf(err, "command %s", c.name)
+		}
+	}
+	key, err := p.AddCommand("key", "Make, list and withdraw the keys of workspaces", "Keys are shown once, when they are made; only their hashes are kept.", &struct{}{})
+	if err != nil {
+		return errors.Wrap(err, "command key")
+	}
+	return addKeyCommands(key, remote)
+}
+
+func (e *environment) exit(err error) int {
+	if err == nil {
+		return ExitDone
+	}
+	usage := &flags.Error{}
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(e.out, usage.Message)
+			return ExitDone
+		}
+		_, _ = fmt.Fprintln(e.err, usage.Message)
+		return ExitUsage
+	}
+	_, _ = fmt.Fprintln(e.err, err)
+	coded := &exitError{}
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	return ExitFailed
+}
+
+type versionCommand struct {
+	env *environment
+}
+
+// Execute prints the version.
+func (c *versionCommand) Execute([]string) error {
+	_, err := fmt.Fprintln(c.env.out, Version)
+	return err
+}
--- /dev/null
+++ b/internal/listener/exchanger/doc.go
@@ -0,0 +1,3 @@
+// Package exchanger serves other nodes: attempts, questions for their outcome
+// and control messages.
+package exchanger
--- /dev/null
+++ b/internal/listener/exchanger/exchanger.go
@@ -0,0 +1,114 @@
+package exchanger
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
+	"github.com/chivegauge/chivegauge/internal/listener/server"
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
+	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
+	"github.com/chivegauge/chivegauge/internal/request/hopper"
+	"github.com/chivegauge/chivegauge/internal/request/tracker"
+	"github.com/cloudwego/hertz/pkg/app"
+	hertz "github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+)
+
+// Executor runs attempts on the backend server beside the node.
+type Executor interface {
+	Execute(ctx context.Context, c chivegauge.Call) chivegauge.Answer
+	Await(ctx context.Context, attempt tracker.Attempt) (a chivegauge.Answer, running bool)
+	Load() picker.Load
+}
+
+// Exchanger handles the requests of other nodes.
+type Exchanger interface {
+	// Routes registers the handlers.
+	Routes(e *hertz.Hertz)
+}
+
+type exchanger struct {
+	now      gatekeeper.Clock
+	executor Executor
+	self     func() chivegauge.Member
+	control  http.Handler
+}
+
+// New returns an exchanger over the executor and the control service.
+func New(now gatekeeper.Clock, x Executor, self func() chivegauge.Member, control messenger.Control) Exchanger {
+	return &exchanger{
+		now:      now,
+		executor: x,
+		self:     self,
+		control:  messenger.NewControlServer(control),
+	}
+}
+
+// Routes registers the handlers.
+func (x *exchanger) Routes(e *hertz.Hertz) {
+	e.POST(hopper.CallPath, x.call)
+	e.POST(hopper.AwaitPath, x.await)
+	e.POST("/twirp/*method", adaptor.HertzHandler(x.control))
+}
+
+func (x *exchanger) call(ctx context.Context, c *app.RequestContext) {
+	get := func(name string) string { return string(c.Request.Header.Peek(name)) }
+	call, err := hopper.DecodeCall(x.now(), get, server.Body(c))
+	if err != nil {
+		x.reply(c, chivegauge.RefusalAnswer(call.AttemptID, chivegauge.Refuse(chivegauge.CodeBadRequest, err.Error()), 0))
+		return
+	}
+	x.reply(c, x.executor.Execute(ctx, call))
+}
+
+func (x *exchanger) await(ctx context.Context, c *app.RequestContext) {
+	id := string(c.Request.Header.Peek(chivegauge.HeaderAttempt))
+	attempt, err := tracker.ParseAttempt(id)
+	if err != nil {
+		x.reply(c, chivegauge.RefusalAnswer(id, chivegauge.Refuse(chivegauge.CodeBadRequest, err.Error()), 0))
+		return
+	}
+	if !x.sameProcess(c) {
+		refusal := chivegauge.Unknown(chivegauge.CodeOutcomeUnknown, "the node was restarted since the attempt was sent")
+		x.reply(c, chivegauge.RefusalAnswer(id, refusal, 0))
+		return
+	}
+	wait, err := strconv.Atoi(string(c.Request.Header.Peek(chivegauge.HeaderBudgetMs)))
+	if err != nil {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	answer, running := x.executor.Await(ctx, attempt)
+	if running {
+		c.SetStatusCode(http.StatusAccepted)
+		return
+	}
+	x.reply(c, answer)
+}
+
+// sameProcess reports whether the question is for this process and not for one before it.
+func (x *exchanger) sameProcess(c *app.RequestContext) bool {
+	incarnation, err := hopper.DecodeIncarnation(string(c.Request.Header.Peek(hopper.HeaderIncarnation)))
+	if err != nil {
+		return false
+	}
+	asked := chivegauge.Member{
+		Incarnation: incarnation,
+	}
+	return asked.Process() == x.self().Process()
+}
+
+func (x *exchanger) reply(c *app.RequestContext, a chivegauge.Answer) {
+	c.SetStatusCode(http.StatusOK)
+	if err := hopper.EncodeAnswer(a, c.Response.Header.Set); err != nil {
+		c.SetStatusCode(http.StatusInternalServerError)
+		return
+	}
+	c.Response.Header.Set(chivegauge.HeaderRunning, hopper.EncodeLoad(x.executor.Load()))
+	c.Response.SetBodyRaw(a.Body)
+}
--- /dev/null
+++ b/internal/listener/receiver/receiver.go
@@ -0,0 +1,177 @@
+package receiver
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/listener/server"
+	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
+	"github.com/chivegauge/chivegauge/internal/request/rater"
+	"github.com/cloudwego/hertz/pkg/app"
+	hertz "github.com/cloudwego/hertz/pkg/app/server"
+)
+
+const (
+	bearer        = "Bearer "
+	headerTimeout = "Request-Timeout-Ms"
+)
+
+// Configuration answers what the configuration in force says.
+type Configuration interface {
+	Configuration() chivegauge.Configuration
+	Workspace(key string) (workspace, keyID string, refusal *chivegauge.Refusal)
+}
+
+// Dispatcher sends requests to services.
+type Dispatcher interface {
+	Admits(c chivegauge.Call) *chivegauge.Refusal
+	Dispatch(ctx context.Context, c chivegauge.Call) chivegauge.Answer
+}
+
+// Counter counts the outcome of each request.
+type Counter interface {
+	Served(workspace, route string, refusal *chivegauge.Refusal, took time.Duration)
+}
+
+// Receiver handles the requests of callers.
+type Receiver interface {
+	// Routes registers the handler of all requests.
+	Routes(e *hertz.Hertz)
+	// Running returns the number of requests not yet answered.
+	Running() int
+	// Close makes each further answer close its connection.
+	Close()
+}
+
+type receiver struct {
+	now        gatekeeper.Clock
+	config     Configuration
+	dispatcher Dispatcher
+	rates      rater.Rater
+	counter    Counter
+	tokens     int
+	running    atomic.Int64
+	closing    atomic.Bool
+}
+
+// New returns a receiver; tokens is the number of retry tokens that a request is born with.
+func New(now gatekeeper.Clock, cfg Configuration, d Dispatcher, r rater.Rater, n Counter, tokens int) Receiver {
+	return &receiver{
+		now:        now,
+		config:     cfg,
+		dispatcher: d,
+		rates:      r,
+		counter:    n,
+		tokens:     tokens,
+	}
+}
+
+// Routes registers the handler of all requests.
+func (r *receiver) Routes(e *hertz.Hertz) {
+	e.NoRoute(r.handle)
+}
+
+// Running returns the number of requests not yet answered.
+func (r *receiver) Running() int {
+	return int(r.running.Load())
+}
+
+// Close makes each further answer close its connection.
+func (r *receiver) Close() {
+	r.closing.Store(true)
+}
+
+func (r *receiver) handle(ctx context.Context, c *app.RequestContext) {
+	r.running.Add(1)
+	defer r.running.Add(-1)
+	began := r.now()
+	call, refusal := r.build(c, began)
+	if refusal == nil {
+		refusal = r.admit(ctx, call)
+	}
+	answer := chivegauge.Answer{
+		Refusal: refusal,
+	}
+	if refusal == nil {
+		answer = r.dispatcher.Dispatch(ctx, call)
+	}
+	if r.closing.Load() {
+		c.Response.SetConnectionClose()
+	}
+	r.counter.Served(call.Workspace, call.Route, answer.Refusal, r.now().Sub(began))
+	server.Reply(c, call.RequestID, answer)
+}
+
+func (r *receiver) admit(ctx context.Context, call chivegauge.Call) *chivegauge.Refusal {
+	if refusal := r.dispatcher.Admits(call); refusal != nil {
+		return refusal
+	}
+	if call.Workspace == "" {
+		return nil
+	}
+	return r.rates.Take(ctx, call.Workspace)
+}
+
+// build makes the call of a request; no header of the caller stands for one of the system's own.
+func (r *receiver) build(c *app.RequestContext, now time.Time) (chivegauge.Call, *chivegauge.Refusal) {
+	cfg := r.config.Configuration()
+	route, ok := cfg.Route(string(c.Method()), string(c.Path()))
+	if !ok || route.Internal {
+		return chivegauge.Call{}, chivegauge.Refuse(chivegauge.CodeRouteUnknown, "no route serves this method and path")
+	}
+	workspace, keyID, refusal := r.config.Workspace(key(c))
+	if refusal != nil && !route.Open {
+		return chivegauge.Call{
+			Route: route.Name,
+		}, refusal
+	}
+	return chivegauge.Call{
+		RequestID:      newID(),
+		Route:          route.Name,
+		Service:        route.Service,
+		Workspace:      workspace,
+		KeyID:          keyID,
+		Importance:     route.Importance,
+		Idempotent:     route.Idempotent,
+		IdempotencyKey: string(c.Request.Header.Peek(chivegauge.HeaderIdempotency)),
+		Deadline:       now.Add(budget(c, route)),
+		Tokens:         r.tokens,
+		Depth:          1,
+		Method:         string(c.Method()),
+		Target:         server.Target(c),
+		Header:         server.RequestFields(c),
+		Body:           server.Body(c),
+	}, nil
+}
+
+// budget returns the route's deadline, or less if the caller asks for less.
+func budget(c *app.RequestContext, route chivegauge.Route) time.Duration {
+	ms, err := strconv.Atoi(string(c.Request.Header.Peek(headerTimeout)))
+	if err != nil || ms <= 0 {
+		return route.Deadline()
+	}
+	return min(route.Deadline(), time.Duration(ms)*time.Millisecond)
+}
+
+func key(c *app.RequestContext) string {
+	if k := c.Request.Header.Peek(chivegauge.HeaderKey); len(k) > 0 {
+		return string(k)
+	}
+	auth := string(c.Request.Header.Peek("Authorization"))
+	if !strings.HasPrefix(auth, bearer) {
+		return ""
+	}
+	return auth[len(bearer):]
+}
+
+func newID() string {
+	b := make([]byte, 12)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
--- /dev/null
+++ b/internal/listener/relayer/relayer.go
@@ -0,0 +1,111 @@
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/listener/server"
+	"github.com/chivegauge/chivegauge/internal/request/executor"
+	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
+	"github.com/cloudwego/hertz/pkg/app"
+	hertz "github.com/cloudwego/hertz/pkg/app/server"
+)
+
+const depthMax = 32
+
+// Parents finds the running request of a context token.
+type Parents interface {
+	Parent(token string) (*executor.Run, bool)
+}
+
+// Configuration returns the configuration in force.
+type Configuration interface {
+	Configuration() chivegauge.Configuration
+}
+
+// Dispatcher sends requests to services.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, c chivegauge.Call) chivegauge.Answer
+}
+
+// Relayer handles nested calls.
+type Relayer interface {
+	// Routes registers the handler of all requests.
+	Routes(e *hertz.Hertz)
+}
+
+type relayer struct {
+	now        gatekeeper.Clock
+	parents    Parents
+	config     Configuration
+	dispatcher Dispatcher
+}
+
+// New returns a relayer.
+func New(now gatekeeper.Clock, p Parents, cfg Configuration, d Dispatcher) Relayer {
+	return &relayer{
+		now:        now,
+		parents:    p,
+		config:     cfg,
+		dispatcher: d,
+	}
+}
+
+// Routes registers the handler of all requests.
+func (r *relayer) Routes(e *hertz.Hertz) {
+	e.NoRoute(r.handle)
+}
+
+func (r *relayer) handle(ctx context.Context, c *app.RequestContext) {
+	run, ok := r.parents.Parent(string(c.Request.Header.Peek(chivegauge.HeaderContext)))
+	if !ok {
+		server.Refuse(c, chivegauge.Refuse(chivegauge.CodeContextUnknown, "no running request has this context token"))
+		return
+	}
+	call, refusal := r.build(c, run.Call, r.now())
+	if refusal != nil {
+		server.Refuse(c, refusal)
+		return
+	}
+	callCtx, cancel := context.WithCancel(run.Context)
+	defer cancel()
+	defer context.AfterFunc(ctx, cancel)()
+	loan := run.LendNested()
+	call.Tokens = loan
+	answer := r.dispatcher.Dispatch(callCtx, call)
+	run.ReturnNested(loan, answer)
+	server.Reply(c, call.RequestID, answer)
+}
+
+// build makes a nested call that keeps the request, workspace, importance and deadline of its parent.
+func (r *relayer) build(c *app.RequestContext, parent chivegauge.Call, now time.Time) (chivegauge.Call, *chivegauge.Refusal) {
+	cfg := r.config.Configuration()
+	route, ok := cfg.Route(string(c.Method()), string(c.Path()))
+	if !ok {
+		return chivegauge.Call{}, chivegauge.Refuse(chivegauge.CodeRouteUnknown, "no route serves this method and path")
+	}
+	if parent.Depth >= depthMax {
+		return chivegauge.Call{}, chivegauge.Refuse(chivegauge.CodeBadRequest, "the call tree is too deep")
+	}
+	deadline := now.Add(route.Deadline())
+	if parent.Deadline.Before(deadline) {
+		deadline = parent.Deadline
+	}
+	return chivegauge.Call{
+		RequestID:      parent.RequestID,
+		Route:          route.Name,
+		Service:        route.Service,
+		Workspace:      parent.Workspace,
+		KeyID:          parent.KeyID,
+		Importance:     parent.Importance,
+		Idempotent:     route.Idempotent,
+		IdempotencyKey: string(c.Request.Header.Peek(chivegauge.HeaderIdempotency)),
+		Deadline:       deadline,
+		Depth:          parent.Depth + 1,
+		Method:         string(c.Method()),
+		Target:         server.Target(c),
+		Header:         server.RequestFields(c),
+		Body:           server.Body(c),
+	}, nil
+}
--- /dev/null
+++ b/internal/listener/server/doc.go
@@ -0,0 +1,2 @@
+// Package server makes the HTTP servers of a node's listeners.
+package server
--- /dev/null
+++ b/internal/listener/server/reply.go
@@ -0,0 +1,71 @@
+package server
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/cloudwego/hertz/pkg/app"
+)
+
+const (
+	contentJSON    = "application/json"
+	millisInSecond = 1000
+)
+
+// Reply writes an answer or its refusal to a caller or a backend server.
+func Reply(c *app.RequestContext, requestID string, a chivegauge.Answer) {
+	if requestID != "" {
+		c.Response.Header.Set(chivegauge.HeaderRequest, requestID)
+	}
+	if a.Refusal != nil {
+		Refuse(c, a.Refusal)
+		return
+	}
+	c.SetStatusCode(a.Status)
+	for _, f := range a.Header {
+		c.Response.Header.Add(f.Name, f.Value)
+	}
+	c.Response.SetBodyRaw(a.Body)
+}
+
+// Refuse writes a refusal as a status, headers and a JSON body.
+func Refuse(c *app.RequestContext, r *chivegauge.Refusal) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		body = nil
+	}
+	c.SetStatusCode(r.Status())
+	c.Response.Header.Set(chivegauge.HeaderCode, string(r.Code))
+	c.Response.Header.Set(chivegauge.HeaderRun, string(r.Run))
+	if r.RetryAfterMs > 0 {
+		seconds := (r.RetryAfterMs + millisInSecond - 1) / millisInSecond
+		c.Response.Header.Set(chivegauge.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	c.Response.Header.SetContentType(contentJSON)
+	c.Response.SetBodyRaw(body)
+}
+
+// RequestFields returns the header fields of a request that travel on to the backend server.
+func RequestFields(c *app.RequestContext) []chivegauge.HeaderField {
+	var fields []chivegauge.HeaderField
+	c.Request.Header.VisitAll(func(k, v []byte) {
+		if name := string(k); chivegauge.RequestHeader(name) {
+			fields = append(fields, chivegauge.HeaderField{
+				Name:  name,
+				Value: string(v),
+			})
+		}
+	})
+	return fields
+}
+
+// Target returns the path and query of the request as they were sent.
+func Target(c *app.RequestContext) string {
+	return string(c.Request.Header.RequestURI())
+}
+
+// Body returns a copy of the request's body, which outlives the request.
+func Body(c *app.RequestContext) []byte {
+	return append([]byte(nil), c.Request.Body()...)
+}
--- /dev/null
+++ b/internal/measure/driver/doc.go
@@ -0,0 +1,2 @@
+// Package driver sends an open-loop load of callers and records what each got.
+package driver
--- /dev/null
+++ b/internal/measure/launcher/operate.go
@@ -0,0 +1,136 @@
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/chivegauge/chivegauge/internal/cluster/planner"
+	"github.com/chivegauge/chivegauge/internal/cluster/surveyor"
+	"github.com/chivegauge/chivegauge/internal/listener/operator"
+	"github.com/go-faster/errors"
+)
+
+// Apply plans and confirms the intents through the operator listener of a site.
+func (f *Fleet) Apply(s *Site, intents ...planner.Intent) error {
+	p, err := f.Plan(s, intents...)
+	if err != nil {
+		return err
+	}
+	_, err = f.Confirm(s, p, "fleet")
+	return err
+}
+
+// Plan returns the plan of the intents.
+func (f *Fleet) Plan(s *Site, intents ...planner.Intent) (planner.Plan, error) {
+	p := planner.Plan{}
+	req := operator.PlanRequest{
+		Intents: intents,
+	}
+	return p, f.call(http.MethodPost, "http://"+s.Operator+"/plan", req, &p)
+}
+
+// Confirm confirms the plan and returns the new revision.
+func (f *Fleet) Confirm(s *Site, p planner.Plan, name string) (uint64, error) {
+	res := operator.ConfirmResponse{}
+	req := operator.ConfirmRequest{
+		Plan:     p,
+		Operator: name,
+	}
+	return res.Revision, f.callInto(&res, req, s)
+}
+
+func (f *Fleet) callInto(res *operator.ConfirmResponse, req operator.ConfirmRequest, s *Site) error {
+	return f.call(http.MethodPost, "http://"+s.Operator+"/confirm", req, res)
+}
+
+// Status returns the status of the fleet as a site sees it.
+func (f *Fleet) Status(s *Site) (surveyor.Status, error) {
+	st := surveyor.Status{}
+	return st, f.call(http.MethodGet, "http://"+s.Operator+"/status", nil, &st)
+}
+
+// SetFault switches the faults of the store.
+func (f *Fleet) SetFault(fault any) error {
+	return f.call(http.MethodPost, f.StoreURL+"/fault", fault, nil)
+}
+
+// call sends JSON and decodes JSON.
+func (f *Fleet) call(method, url string, in, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "send")
+	}
+	defer func() { _ = res.Body.Close() }()
+	answer, err := io.ReadAll(res.Body)
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if res.StatusCode != http.StatusOK {
+		return errors.Errorf("%s: status %d: %s", url, res.StatusCode, answer)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return errors.Wrap(err, "decode")
+	}
+	return nil
+}
+
+// GetJSON decodes what the URL answers.
+func (f *Fleet) GetJSON(url string, out any) error {
+	return f.call(http.MethodGet, url, nil, out)
+}
+
+// PostJSON sends a value to the URL.
+func (f *Fleet) PostJSON(url string, in any) error {
+	return f.call(http.MethodPost, url, in, nil)
+}
+
+// Metric returns the sum of a metric of a site's node over its labels.
+func (f *Fleet) Metric(s *Site, name string) (float64, error) {
+	res, err := http.Get("http://" + s.Operator + "/metrics")
+	if err != nil {
+		return 0, errors.Wrap(err, "read metrics")
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, errors.Wrap(err, "read metrics")
+	}
+	sum := 0.0
+	found := false
+	for line := range strings.Lines(string(text)) {
+		rest, ok := strings.CutPrefix(line, name)
+		if !ok || (rest[0] != '{' && rest[0] != ' ') {
+			continue
+		}
+		fields := strings.Fields(rest)
+		v, err := strconv.ParseFloat(fields[len(fields)-1], 64)
+		if err != nil {
+			return 0, errors.Wrapf(err, "metric %s", name)
+		}
+		sum += v
+		found = true
+	}
+	if !found {
+		return 0, errors.Errorf("no metric %s", name)
+	}
+	return sum, nil
+}
--- /dev/null
+++ b/internal/measure/launcher/process.go
@@ -0,0 +1,85 @@
+package launcher
+
+import (
+	"io"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const stopTimeout = 20 * time.Second
+
+// Process is a child process, signalled by its ID alone.
+type Process struct {
+	cmd   *exec.Cmd
+	group sync.WaitGroup
+	done  chan struct{}
+	err   error
+}
+
+// startProcess starts the program with the arguments; its output goes to out.
+func startProcess(out io.Writer, program string, args ...string) (*Process, error) {
+	p := &Process{
+		cmd:  exec.Command(program, args...),
+		done: make(chan struct{}),
+	}
+	p.cmd.Stdout = out
+	p.cmd.Stderr = out
+	if err := p.cmd.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", program)
+	}
+	p.group.Go(func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	})
+	return p, nil
+}
+
+// ID returns the process ID.
+func (p *Process) ID() int {
+	return p.cmd.Process.Pid
+}
+
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	p.group.Wait()
+}
+
+// Pause stops the process from running.
+func (p *Process) Pause() error {
+	return p.cmd.Process.Signal(syscall.SIGSTOP)
+}
+
+// Resume lets a paused process run on.
+func (p *Process) Resume() error {
+	return p.cmd.Process.Signal(syscall.SIGCONT)
+}
+
+// Stop asks the process to end and returns how it ended.
+func (p *Process) Stop() error {
+	if err := p.cmd.Process.Signal(os.Interrupt); err != nil {
+		return nil
+	}
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(stopTimeout):
+		p.Kill()
+		return errors.New("the process did not stop in time")
+	}
+}
--- /dev/null
+++ b/internal/measure/presenter/doc.go
@@ -0,0 +1,3 @@
+// Package presenter runs the demo: a fleet of separate processes, and one row
+// for what each step showed.
+package presenter
--- /dev/null
+++ b/internal/platform/certifier/doc.go
@@ -0,0 +1,2 @@
+// Package certifier reads certificates for the listeners and for peers.
+package certifier
--- /dev/null
+++ b/internal/platform/loader/settings.go
@@ -0,0 +1,166 @@
+package loader
+
+import "time"
+
+// Settings is the whole settings file of a node.
+type Settings struct {
+	Instance         string        `yaml:"Instance" validate:"required"`
+	AvailabilityZone string        `yaml:"AvailabilityZone" validate:"required"`
+	Region           string        `yaml:"Region" validate:"required"`
+	Service          string        `yaml:"Service" validate:"required"`
+	BackendServer    BackendServer `yaml:"BackendServer"`
+	Listeners        Listeners     `yaml:"Listeners"`
+	Store            Store         `yaml:"Store"`
+	Limits           Limits        `yaml:"Limits"`
+	Retries          Retries       `yaml:"Retries"`
+	Membership       Membership    `yaml:"Membership"`
+	Policy           Policy        `yaml:"Policy"`
+	Trace            Trace         `yaml:"Trace"`
+	LogLevel         string        `yaml:"LogLevel" validate:"oneof=debug info warn error"`
+}
+
+// BackendServer is the server beside the node.
+type BackendServer struct {
+	URL             string `yaml:"URL" validate:"required,url"`
+	Connections     int    `yaml:"Connections" validate:"min=1,max=10000"`
+	ColdStartMs     int    `yaml:"ColdStartMs" validate:"min=0,max=600000"`
+	HealthPath      string `yaml:"HealthPath" validate:"omitempty,startswith=/"`
+	HealthPeriodMs  int    `yaml:"HealthPeriodMs" validate:"min=100,max=600000"`
+	CancelGraceMs   int    `yaml:"CancelGraceMs" validate:"min=0,max=60000"`
+	AnswerRetainMs  int    `yaml:"AnswerRetainMs" validate:"min=1000,max=3600000"`
+	AnswerMaxBytes  int    `yaml:"AnswerMaxBytes" validate:"min=1024"`
+	TrackedAttempts int    `yaml:"TrackedAttempts" validate:"min=100,max=1000000"`
+}
+
+// Listeners are the four faces of a node.
+type Listeners struct {
+	Caller   Listener         `yaml:"Caller"`
+	Peer     Listener         `yaml:"Peer"`
+	Egress   Listener         `yaml:"Egress"`
+	Operator OperatorListener `yaml:"Operator"`
+}
+
+// Listener is an address and its transport security.
+type Listener struct {
+	Address   string `yaml:"Address" validate:"required,hostname_port"`
+	Plaintext bool   `yaml:"Plaintext"`
+	TLS       TLS    `yaml:"TLS"`
+}
+
+// TLS names the certificate files of a listener; CAFile is what peers are checked against.
+type TLS struct {
+	CertificateFile string `yaml:"CertificateFile"`
+	KeyFile         string `yaml:"KeyFile"`
+	CAFile          string `yaml:"CAFile"`
+}
+
+// Enabled reports whether a certificate is set.
+func (t TLS) Enabled() bool {
+	return t.CertificateFile != ""
+}
+
+// OperatorListener is the operator's listener with the hash of the credential it asks for.
+type OperatorListener struct {
+	Listener  `yaml:",inline"`
+	TokenHash string `yaml:"TokenHash" validate:"required,len=64,hexadecimal"`
+}
+
+// Store is the platform's object store.
+type Store struct {
+	URL       string `yaml:"URL" validate:"required,url"`
+	TimeoutMs int    `yaml:"TimeoutMs" validate:"min=10,max=60000"`
+	WatchMs   int    `yaml:"WatchMs" validate:"min=100,max=600000"`
+	RefreshMs int    `yaml:"RefreshMs" validate:"min=1000,max=3600000"`
+}
+
+// Limits bounds what the node holds.
+type Limits struct {
+	BodyMaxBytes int `yaml:"BodyMaxBytes" validate:"min=1024,max=67108864"`
+	QueueMax     int `yaml:"QueueMax" validate:"min=1,max=100000"`
+	QueueMaxMs   int `yaml:"QueueMaxMs" validate:"min=1,max=60000"`
+	SlotsInitial int `yaml:"SlotsInitial" validate:"min=1,max=10000"`
+	SlotsMax     int `yaml:"SlotsMax" validate:"min=1,max=10000"`
+}
+
+// Retries bounds the extra attempts of a call tree and of a destination.
+type Retries struct {
+	Tokens  int     `yaml:"Tokens" validate:"min=0,max=32"`
+	Ratio   float64 `yaml:"Ratio" validate:"min=0,max=1"`
+	Reserve float64 `yaml:"Reserve" validate:"min=0,max=100"`
+}
+
+// Membership is the pace of heartbeats between nodes.
+type Membership struct {
+	HeartbeatMs int `yaml:"HeartbeatMs" validate:"min=50,max=60000"`
+	TimeoutMs   int `yaml:"TimeoutMs" validate:"min=10,max=60000"`
+	SuspectMs   int `yaml:"SuspectMs" validate:"min=100,max=600000"`
+	SilenceMs   int `yaml:"SilenceMs" validate:"min=50,max=60000"`
+}
+
+// Policy switches the parts of the overload policy.
+type Policy struct {
+	Limit     string `yaml:"Limit" validate:"oneof=Off Static Gradient Probe"`
+	Admission bool   `yaml:"Admission"`
+	Rates     string `yaml:"Rates" validate:"oneof=Off Split Shares"`
+	Retries   string `yaml:"Retries" validate:"oneof=PerHop Tokens"`
+	Routing   string `yaml:"Routing" validate:"oneof=RoundRobin Observed"`
+}
+
+// Trace records decisions and their inputs as JSON lines.
+type Trace struct {
+	File     string `yaml:"File"`
+	MaxBytes int    `yaml:"MaxBytes" validate:"min=0,max=1073741824"`
+}
+
+// Millis returns a number of milliseconds as a duration.
+func Millis(ms int) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
+
+// Defaults returns settings with each optional value set.
+func Defaults() Settings {
+	return Settings{
+		BackendServer: BackendServer{
+			Connections:     400,
+			HealthPeriodMs:  1000,
+			CancelGraceMs:   2000,
+			AnswerRetainMs:  30000,
+			AnswerMaxBytes:  16 << 20,
+			TrackedAttempts: 20000,
+		},
+		Store: Store{
+			TimeoutMs: 1000,
+			WatchMs:   30000,
+			RefreshMs: 600000,
+		},
+		Limits: Limits{
+			BodyMaxBytes: 8 << 20,
+			QueueMax:     1000,
+			QueueMaxMs:   500,
+			SlotsInitial: 20,
+			SlotsMax:     1000,
+		},
+		Retries: Retries{
+			Tokens:  6,
+			Ratio:   0.1,
+			Reserve: 10,
+		},
+		Membership: Membership{
+			HeartbeatMs: 1000,
+			TimeoutMs:   500,
+			SuspectMs:   3000,
+			SilenceMs:   1000,
+		},
+		Policy: Policy{
+			Limit:     "Probe",
+			Admission: true,
+			Rates:     "Shares",
+			Retries:   "Tokens",
+			Routing:   "Observed",
+		},
+		Trace: Trace{
+			MaxBytes: 64 << 20,
+		},
+		LogLevel: "info",
+	}
+}
--- /dev/null
+++ b/internal/platform/storer/storer.go
@@ -0,0 +1,167 @@
+package storer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ValueMaxBytes is the largest value that the store holds.
+const ValueMaxBytes = 1 << 20
+
+const watchSlack = 3 * time.Second
+
+var (
+	// ErrConflict is returned when the stored version is not the expected one.
+	ErrConflict = errors.New("store: version conflict")
+	// ErrNotFound is returned when there is no object of the key.
+	ErrNotFound = errors.New("store: object not found")
+)
+
+// Object is a stored value with its version.
+type Object struct {
+	Key     string
+	Version uint64
+	Value   []byte
+}
+
+// Store is the object store; each call may fail after it took effect.
+type Store interface {
+	Get(ctx context.Context, key string) (Object, error)
+	Put(ctx context.Context, key string, value []byte, version uint64) (Object, error)
+	Delete(ctx context.Context, key string) error
+	List(ctx context.Context, prefix string) ([]Object, error)
+	Watch(ctx context.Context, key string, after uint64) (Object, error)
+}
+
+type store struct {
+	url     string
+	timeout time.Duration
+	wait    time.Duration
+	client  *http.Client
+}
+
+// New returns a store at the URL; timeout bounds a call, wait bounds a watch.
+func New(url string, timeout, wait time.Duration) Store {
+	return &store{
+		url:     url,
+		timeout: timeout,
+		wait:    wait,
+		client: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 4,
+				IdleConnTimeout:     time.Minute,
+			},
+		},
+	}
+}
+
+// Get returns the object, or ErrNotFound.
+func (s *store) Get(ctx context.Context, key string) (Object, error) {
+	return s.object(ctx, s.timeout, http.MethodGet, objectPath(key), nil, nil)
+}
+
+// Put writes the value if the stored version is the expected one (0: no object), or returns ErrConflict.
+func (s *store) Put(ctx context.Context, key string, value []byte, version uint64) (Object, error) {
+	header := http.Header{}
+	if version == 0 {
+		header.Set("If-None-Match", "*")
+	} else {
+		header.Set("If-Match", strconv.FormatUint(version, 10))
+	}
+	o, err := s.object(ctx, s.timeout, http.MethodPut, objectPath(key), header, value)
+	if err != nil {
+		return Object{}, err
+	}
+	o.Key = key
+	o.Value = value
+	return o, nil
+}
+
+// Delete removes the object if there is one.
+func (s *store) Delete(ctx context.Context, key string) error {
+	_, err := s.object(ctx, s.timeout, http.MethodDelete, objectPath(key), nil, nil)
+	if errors.Is(err, ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
+// List returns the objects whose keys start with the prefix.
+func (s *store) List(ctx context.Context, prefix string) ([]Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	_, body, err := s.do(ctx, http.MethodGet, "/objects?prefix="+url.QueryEscape(prefix), nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	var list []Object
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, errors.Wrap(err, "decode list")
+	}
+	return list, nil
+}
+
+// Watch returns the object once its version is above after, or ErrNotFound when the wait ended without news.
+func (s *store) Watch(ctx context.Context, key string, after uint64) (Object, error) {
+	q := "?after=" + strconv.FormatUint(after, 10) + "&waitMs=" + strconv.FormatInt(s.wait.Milliseconds(), 10)
+	return s.object(ctx, s.wait+watchSlack, http.MethodGet, objectPath(key)+q, nil, nil)
+}
+
+func objectPath(key string) string {
+	return "/objects/" + url.PathEscape(key)
+}
+
+func (s *store) object(ctx context.Context, timeout time.Duration, method, path string, header http.Header, value []byte) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer, body, err := s.do(ctx, method, path, header, value)
+	if err != nil {
+		return Object{}, err
+	}
+	version, err := strconv.ParseUint(answer.Get("Version"), 10, 64)
+	if err != nil {
+		return Object{}, errors.Wrap(err, "read version")
+	}
+	return Object{
+		Key:     answer.Get("Object-Key"),
+		Version: version,
+		Value:   body,
+	}, nil
+}
+
+func (s *store) do(ctx context.Context, method, path string, header http.Header, value []byte) (http.Header, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, s.url+path, bytes.NewReader(value))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "build request")
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	res, err := s.client.Do(req)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "call store")
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, 64*ValueMaxBytes))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "read store answer")
+	}
+	switch res.StatusCode {
+	case http.StatusOK:
+		return res.Header, body, nil
+	case http.StatusPreconditionFailed:
+		return nil, nil, ErrConflict
+	case http.StatusNotFound, http.StatusNotModified:
+		return nil, nil, ErrNotFound
+	default:
+		return nil, nil, errors.Errorf("store: status %d", res.StatusCode)
+	}
+}
--- /dev/null
+++ b/internal/policy/limiter/doc.go
@@ -0,0 +1,2 @@
+// Package limiter decides how many requests a backend server runs at once.
+package limiter
--- /dev/null
+++ b/internal/policy/picker/doc.go
@@ -0,0 +1,3 @@
+// Package picker chooses the backend server for an attempt from what earlier
+// attempts showed; health and load endpoints are hints only.
+package picker
--- /dev/null
+++ b/internal/request/executor/run.go
@@ -0,0 +1,70 @@
+package executor
+
+import (
+	"context"
+	"sync"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/policy/lender"
+	"github.com/chivegauge/chivegauge/internal/request/tracker"
+)
+
+// Run is one running call: the parent of the nested calls of its backend server.
+type Run struct {
+	Call    chivegauge.Call
+	Context context.Context
+
+	attempt  tracker.Attempt
+	token    string
+	cancel   context.CancelFunc
+	done     chan struct{}
+	answer   chivegauge.Answer
+	watchers int
+
+	mu     sync.Mutex
+	tokens *lender.Account
+	levels map[string]int
+}
+
+func (r *Run) ended() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// LendNested lends retry tokens to a nested call.
+func (r *Run) LendNested() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tokens.LendNested()
+}
+
+// ReturnNested takes back the unspent tokens of a loan and the levels that the nested answer carried.
+func (r *Run) ReturnNested(loan int, a chivegauge.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens.Return(loan, a.Tokens)
+	for _, l := range a.Levels {
+		r.levels[l.Service] = max(r.levels[l.Service], l.Level)
+	}
+}
+
+// settle returns the tokens left and the levels heard when the run ends.
+func (r *Run) settle(own chivegauge.ServiceLevel) (int, []chivegauge.ServiceLevel) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	levels := make([]chivegauge.ServiceLevel, 0, len(r.levels)+1)
+	levels = append(levels, own)
+	for service, level := range r.levels {
+		if service != own.Service {
+			levels = append(levels, chivegauge.ServiceLevel{
+				Service: service,
+				Level:   level,
+			})
+		}
+	}
+	return r.tokens.Left(), levels
+}
--- /dev/null
+++ b/internal/request/hopper/wire.go
@@ -0,0 +1,184 @@
+package hopper
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/go-faster/errors"
+)
+
+// Paths of the peer listener.
+const (
+	// CallPath takes an attempt.
+	CallPath = "/Call"
+	// AwaitPath returns the answer of an earlier attempt.
+	AwaitPath = "/Await"
+)
+
+// HeaderIncarnation says for which incarnation of a node a request is meant.
+const HeaderIncarnation = chivegauge.HeaderPrefix + "Incarnation"
+
+// Header names of the peer hop beside the common ones.
+const (
+	headerMethod     = chivegauge.HeaderPrefix + "Method"
+	headerTarget     = chivegauge.HeaderPrefix + "Target"
+	headerService    = chivegauge.HeaderPrefix + "Service"
+	headerIdempotent = chivegauge.HeaderPrefix + "Idempotent"
+	headerStatus     = chivegauge.HeaderPrefix + "Status"
+	headerMessage    = chivegauge.HeaderPrefix + "Message"
+	headerFields     = chivegauge.HeaderPrefix + "Fields"
+)
+
+// EncodeCall sets the headers that carry a call, with the budget left at now.
+func EncodeCall(now time.Time, c chivegauge.Call, set func(name, value string)) error {
+	fields, err := json.Marshal(c.Header)
+	if err != nil {
+		return errors.Wrap(err, "encode header fields")
+	}
+	set(chivegauge.HeaderRequest, c.RequestID)
+	set(chivegauge.HeaderAttempt, c.AttemptID)
+	set(chivegauge.HeaderRoute, c.Route)
+	set(chivegauge.HeaderWorkspace, c.Workspace)
+	set(chivegauge.HeaderKeyID, c.KeyID)
+	set(chivegauge.HeaderImportance, c.Importance.String())
+	set(chivegauge.HeaderBudgetMs, strconv.FormatInt(c.Budget(now).Milliseconds(), 10))
+	set(chivegauge.HeaderTokens, strconv.Itoa(c.Tokens))
+	set(chivegauge.HeaderDepth, strconv.Itoa(c.Depth))
+	set(headerService, c.Service)
+	set(headerIdempotent, strconv.FormatBool(c.Idempotent))
+	set(headerMethod, c.Method)
+	set(headerTarget, c.Target)
+	set(headerFields, string(fields))
+	if c.IdempotencyKey != "" {
+		set(chivegauge.HeaderIdempotency, c.IdempotencyKey)
+	}
+	return nil
+}
+
+// DecodeCall returns the call that the headers carry, its deadline counted from now, or an error.
+func DecodeCall(now time.Time, get func(name string) string, body []byte) (chivegauge.Call, error) {
+	c := chivegauge.Call{
+		RequestID:      get(chivegauge.HeaderRequest),
+		AttemptID:      get(chivegauge.HeaderAttempt),
+		Route:          get(chivegauge.HeaderRoute),
+		Service:        get(headerService),
+		Workspace:      get(chivegauge.HeaderWorkspace),
+		KeyID:          get(chivegauge.HeaderKeyID),
+		Idempotent:     get(headerIdempotent) == "true",
+		IdempotencyKey: get(chivegauge.HeaderIdempotency),
+		Method:         get(headerMethod),
+		Target:         get(headerTarget),
+		Body:           body,
+	}
+	if err := c.Importance.UnmarshalText([]byte(get(chivegauge.HeaderImportance))); err != nil {
+		return c, err
+	}
+	if err := json.Unmarshal([]byte(get(headerFields)), &c.Header); err != nil {
+		return c, errors.Wrap(err, "decode header fields")
+	}
+	budget, err := strconv.Atoi(get(chivegauge.HeaderBudgetMs))
+	if err != nil {
+		return c, errors.Wrap(err, "read budget")
+	}
+	c.Deadline = now.Add(time.Duration(budget) * time.Millisecond)
+	if c.Tokens, err = strconv.Atoi(get(chivegauge.HeaderTokens)); err != nil {
+		return c, errors.Wrap(err, "read tokens")
+	}
+	if c.Depth, err = strconv.Atoi(get(chivegauge.HeaderDepth)); err != nil {
+		return c, errors.Wrap(err, "read depth")
+	}
+	return c, nil
+}
+
+// EncodeAnswer sets the headers that carry an answer.
+func EncodeAnswer(a chivegauge.Answer, set func(name, value string)) error {
+	fields, err := json.Marshal(a.Header)
+	if err != nil {
+		return errors.Wrap(err, "encode header fields")
+	}
+	set(chivegauge.HeaderAttempt, a.AttemptID)
+	set(chivegauge.HeaderTokens, strconv.Itoa(a.Tokens))
+	set(chivegauge.HeaderLevels, encodeLevels(a.Levels))
+	set(headerStatus, strconv.Itoa(a.Status))
+	set(headerFields, string(fields))
+	if a.Refusal != nil {
+		set(chivegauge.HeaderCode, string(a.Refusal.Code))
+		set(chivegauge.HeaderRun, string(a.Refusal.Run))
+		set(headerMessage, a.Refusal.Message)
+	}
+	return nil
+}
+
+// decodeAnswer returns the answer that a response carries, or an error.
+func decodeAnswer(h http.Header, body []byte) (chivegauge.Answer, error) {
+	a := chivegauge.Answer{
+		AttemptID: h.Get(chivegauge.HeaderAttempt),
+		Body:      body,
+	}
+	status, err := strconv.Atoi(h.Get(headerStatus))
+	if err != nil {
+		return a, errors.Wrap(err, "read status")
+	}
+	a.Status = status
+	if a.Tokens, err = strconv.Atoi(h.Get(chivegauge.HeaderTokens)); err != nil {
+		return a, errors.Wrap(err, "read tokens")
+	}
+	if err := json.Unmarshal([]byte(h.Get(headerFields)), &a.Header); err != nil {
+		return a, errors.Wrap(err, "decode header fields")
+	}
+	if a.Levels, err = decodeLevels(h.Get(chivegauge.HeaderLevels)); err != nil {
+		return a, err
+	}
+	if code := h.Get(chivegauge.HeaderCode); code != "" {
+		a.Refusal = &chivegauge.Refusal{
+			Code:    chivegauge.Code(code),
+			Run:     chivegauge.Run(h.Get(chivegauge.HeaderRun)),
+			Message: h.Get(headerMessage),
+		}
+	}
+	return a, nil
+}
+
+func encodeLevels(levels []chivegauge.ServiceLevel) string {
+	parts := make([]string, 0, len(levels))
+	for _, l := range levels {
+		parts = append(parts, l.Service+"="+strconv.Itoa(l.Level))
+	}
+	return strings.Join(parts, ",")
+}
+
+func decodeLevels(s string) ([]chivegauge.ServiceLevel, error) {
+	if s == "" {
+		return nil, nil
+	}
+	parts := strings.Split(s, ",")
+	levels := make([]chivegauge.ServiceLevel, 0, len(parts))
+	for _, part := range parts {
+		service, level, _ := strings.Cut(part, "=")
+		n, err := strconv.Atoi(level)
+		if err != nil {
+			return nil, errors.Wrap(err, "read level")
+		}
+		levels = append(levels, chivegauge.ServiceLevel{
+			Service: service,
+			Level:   n,
+		})
+	}
+	return levels, nil
+}
+
+// EncodeIncarnation returns the incarnation in the form in which it travels.
+func EncodeIncarnation(n uint64) string {
+	return strconv.FormatUint(n, incarnationBase)
+}
+
+// DecodeIncarnation returns the incarnation in s, or an error.
+func DecodeIncarnation(s string) (uint64, error) {
+	return strconv.ParseUint(s, incarnationBase, 64)
+}
+
+const incarnationBase = 16
--- /dev/null
+++ b/internal/telemetry/meter/doc.go
@@ -0,0 +1,3 @@
+// Package meter counts what the node does and serves the counts in the
+// Prometheus text format.
+package meter
--- /dev/null
+++ b/internal/telemetry/meter/meter.go
@@ -0,0 +1,126 @@
+package meter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/telemetry/asserter"
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Gauge is a value that is read when the metrics are.
+type Gauge struct {
+	Name        string
+	Description string
+	Unit        string
+	Read        func() float64
+}
+
+// Meter counts requests and serves all metrics.
+type Meter interface {
+	// Served counts one request of a caller with its outcome and time.
+	Served(workspace, route string, refusal *chivegauge.Refusal, took time.Duration)
+	// Restarted counts a part of the node that was started again after a fault.
+	Restarted(part string)
+	// Observe adds gauges.
+	Observe(gauges ...Gauge) error
+	// Handler serves the metrics.
+	Handler() http.Handler
+}
+
+type meter struct {
+	registry *prometheus.Registry
+	meter    metric.Meter
+	requests metric.Int64Counter
+	restarts metric.Int64Counter
+	duration metric.Float64Histogram
+}
+
+// New returns a meter, or an error if a metric can't be made.
+func New() (Meter, error) {
+	registry := prometheus.NewRegistry()
+	exp, err := exporter.New(exporter.WithRegisterer(registry))
+	if err != nil {
+		return nil, errors.Wrap(err, "make exporter")
+	}
+	m := &meter{
+		registry: registry,
+		meter:    sdk.NewMeterProvider(sdk.WithReader(exp)).Meter("chivegauge"),
+	}
+	if err := m.instruments(); err != nil {
+		return nil, errors.Wrap(err, "make instruments")
+	}
+	return m, nil
+}
+
+func (m *meter) instruments() error {
+	var err error
+	if m.requests, err = m.meter.Int64Counter("chivegauge.requests", metric.WithDescription("Requests of callers by outcome")); err != nil {
+		return err
+	}
+	if m.restarts, err = m.meter.Int64Counter("chivegauge.restarts", metric.WithDescription("Parts of the node started again after a fault")); err != nil {
+		return err
+	}
+	bounds := metric.WithExplicitBucketBoundaries(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
+	if m.duration, err = m.meter.Float64Histogram("chivegauge.request.duration", metric.WithUnit("s"), bounds); err != nil {
+		return err
+	}
+	_, err = m.meter.Int64ObservableCounter("chivegauge.invariant.violations",
+		metric.WithDescription("Violations of invariants by name"),
+		metric.WithInt64Callback(observeViolations))
+	return err
+}
+
+func observeViolations(_ context.Context, o metric.Int64Observer) error {
+	for name, n := range asserter.Violations() {
+		o.Observe(int64(n), metric.WithAttributes(attribute.String("invariant", name)))
+	}
+	return nil
+}
+
+// Served counts one request of a caller.
+func (m *meter) Served(workspace, route string, refusal *chivegauge.Refusal, took time.Duration) {
+	code := "Answered"
+	if refusal != nil {
+		code = string(refusal.Code)
+	}
+	set := metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("workspace", workspace),
+		attribute.String("route", route),
+		attribute.String("code", code),
+	))
+	m.requests.Add(context.Background(), 1, set)
+	m.duration.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("route", route)))
+}
+
+// Restarted counts a part that was started again.
+func (m *meter) Restarted(part string) {
+	m.restarts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("part", part)))
+}
+
+// Observe adds gauges.
+func (m *meter) Observe(gauges ...Gauge) error {
+	for _, g := range gauges {
+		read := func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(g.Read())
+			return nil
+		}
+		if _, err := m.meter.Float64ObservableGauge(g.Name, metric.WithDescription(g.Description), metric.WithUnit(g.Unit), metric.WithFloat64Callback(read)); err != nil {
+			return errors.Wrapf(err, "gauge %s", g.Name)
+		}
+	}
+	return nil
+}
+
+// Handler serves the metrics.
+func (m *meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/refusal.go
@@ -0,0 +1,102 @@
+package chivegauge
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Code is the machine-readable reason of an answer made by the system itself.
+type Code string
+
+// The codes of a refusal.
+const (
+	CodeKeyMissing      Code = "KeyMissing"
+	CodeKeyUnknown      Code = "KeyUnknown"
+	CodeRouteUnknown    Code = "RouteUnknown"
+	CodeTooLarge        Code = "TooLarge"
+	CodeBadRequest      Code = "BadRequest"
+	CodeRateExceeded    Code = "RateExceeded"
+	CodeOverloaded      Code = "Overloaded"
+	CodeDeadline        Code = "DeadlineExceeded"
+	CodeCancelled       Code = "Cancelled"
+	CodeNoBackend       Code = "NoBackendServer"
+	CodeDraining        Code = "Draining"
+	CodeContextUnknown  Code = "ContextUnknown"
+	CodeQuarantined     Code = "Quarantined"
+	CodeUnreachable     Code = "Unreachable"
+	CodeNotReady        Code = "NotReady"
+	CodeOutcomeUnknown  Code = "OutcomeUnknown"
+	CodeAttemptConflict Code = "AttemptConflict"
+	CodeNotOwner        Code = "NotOwner"
+)
+
+// Run says whether the request ran at a backend server.
+type Run string
+
+// What is known of a run.
+const (
+	NotRun     Run = "NotRun"
+	MayHaveRun Run = "MayHaveRun"
+	DidRun     Run = "Run"
+)
+
+// Refusal is the typed error that a caller is told.
+type Refusal struct {
+	Code         Code
+	Run          Run
+	Message      string
+	RetryAfterMs int `json:",omitempty"`
+}
+
+// Error returns the code, the run and the message.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Code, r.Run, r.Message)
+}
+
+// Refuse returns a refusal of a request that did not run.
+func Refuse(code Code, message string) *Refusal {
+	return &Refusal{
+		Code:    code,
+		Run:     NotRun,
+		Message: message,
+	}
+}
+
+// WithRetryAfter returns the refusal with the time after which to send again, in milliseconds.
+func (r Refusal) WithRetryAfter(ms int) *Refusal {
+	r.RetryAfterMs = ms
+	return &r
+}
+
+// Unknown returns a refusal of a request that may have run.
+func Unknown(code Code, message string) *Refusal {
+	return &Refusal{
+		Code:    code,
+		Run:     MayHaveRun,
+		Message: message,
+	}
+}
+
+var codeStatuses = map[Code]int{
+	CodeKeyMissing:      http.StatusUnauthorized,
+	CodeKeyUnknown:      http.StatusUnauthorized,
+	CodeRouteUnknown:    http.StatusNotFound,
+	CodeTooLarge:        http.StatusRequestEntityTooLarge,
+	CodeBadRequest:      http.StatusBadRequest,
+	CodeRateExceeded:    http.StatusTooManyRequests,
+	CodeDeadline:        http.StatusGatewayTimeout,
+	CodeUnreachable:     http.StatusBadGateway,
+	CodeOutcomeUnknown:  http.StatusBadGateway,
+	CodeCancelled:       http.StatusServiceUnavailable,
+	CodeContextUnknown:  http.StatusForbidden,
+	CodeQuarantined:     http.StatusUnprocessableEntity,
+	CodeAttemptConflict: http.StatusConflict,
+}
+
+// Status returns the HTTP status of the refusal.
+func (r *Refusal) Status() int {
+	if s, ok := codeStatuses[r.Code]; ok {
+		return s
+	}
+	return http.StatusServiceUnavailable
+}
