--- a/call.go
+++ b/call.go
@@ -15,6 +15,7 @@
 // Call is a request on its way through the nodes.
 type Call struct {
 	RequestID      string
+	Root           uint64
 	AttemptID      string
 	Route          string
 	Service        string
@@ -39,9 +40,13 @@
 	return c
 }
 
-// Root returns a hash of the request ID, the same at each hop of one call tree.
-func (c Call) Root() uint64 {
-	return xxhash.Sum64String(c.RequestID)
+// RootHash returns a hash that stays the same at each hop of one call tree, and
+// for a request that its caller sends again under one idempotency key.
+func RootHash(requestID, workspace, idempotencyKey string) uint64 {
+	if idempotencyKey != "" {
+		return xxhash.Sum64String(workspace + "|" + idempotencyKey)
+	}
+	return xxhash.Sum64String(requestID)
 }
 
 // Budget returns the time left at now, never below zero.
--- a/header.go
+++ b/header.go
@@ -9,6 +9,7 @@
 const (
 	HeaderKey         = HeaderPrefix + "Key"
 	HeaderRequest     = HeaderPrefix + "Request"
+	HeaderRoot        = HeaderPrefix + "Root"
 	HeaderAttempt     = HeaderPrefix + "Attempt"
 	HeaderRoute       = HeaderPrefix + "Route"
 	HeaderWorkspace   = HeaderPrefix + "Workspace"
--- a/internal/listener/receiver/receiver.go
+++ b/internal/listener/receiver/receiver.go
@@ -131,15 +131,18 @@
 			Route: route.Name,
 		}, refusal
 	}
+	id := newID()
+	idempotencyKey := string(c.Request.Header.Peek(chivegauge.HeaderIdempotency))
 	return chivegauge.Call{
-		RequestID:      newID(),
+		RequestID:      id,
+		Root:           chivegauge.RootHash(id, workspace, idempotencyKey),
 		Route:          route.Name,
 		Service:        route.Service,
 		Workspace:      workspace,
 		KeyID:          keyID,
 		Importance:     route.Importance,
 		Idempotent:     route.Idempotent,
-		IdempotencyKey: string(c.Request.Header.Peek(chivegauge.HeaderIdempotency)),
+		IdempotencyKey: idempotencyKey,
 		Deadline:       now.Add(budget(c, route)),
 		Tokens:         r.tokens,
 		Depth:          1,
--- a/internal/listener/relayer/relayer.go
+++ b/internal/listener/relayer/relayer.go
@@ -94,6 +94,7 @@
 	}
 	return chivegauge.Call{
 		RequestID:      parent.RequestID,
+		Root:           parent.Root,
 		Route:          route.Name,
 		Service:        route.Service,
 		Workspace:      parent.Workspace,
--- /dev/null
+++ b/internal/measure/experimenter/added.go
@@ -0,0 +1,74 @@
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/measure/driver"
+	"github.com/chivegauge/chivegauge/internal/measure/launcher"
+)
+
+const (
+	addedTurns = 4
+	addedTurn  = 4 * time.Second
+	addedRate  = 200
+)
+
+// added sends moderate load through a pair of nodes and straight to the backend server, in turn.
+func added(x *experiment) error {
+	if err := x.start(
+		service{
+			name:      "lookup",
+			count:     1,
+			slots:     100,
+			serviceMs: 3,
+			args:      []string{"--jitter", "0"},
+		},
+		service{
+			name:      "entry",
+			count:     1,
+			slots:     10,
+			serviceMs: 1,
+		},
+	); err != nil {
+		return err
+	}
+	if err := x.fleet.Apply(x.fleet.Sites[0],
+		launcher.SetRoute(route("lookup", "lookup", chivegauge.Normal, shareDeadline)),
+		launcher.SetWorkspace("golf", 10000, 2000),
+		launcher.GiveKey("golf", "golf"),
+	); err != nil {
+		return err
+	}
+	if err := x.ready(); err != nil {
+		return err
+	}
+	var through, straight []driver.Outcome
+	for turn := range addedTurns {
+		through = append(through, x.addedTurn(turn, x.sitesOf("entry")[0].Caller)...)
+		straight = append(straight, x.addedTurn(turn, x.sitesOf("lookup")[0].Address)...)
+	}
+	x.report.OfferedPerSecond = addedRate
+	x.report.GoodputPerSecond = perSecond(wholeCount(through), addedTurns*addedTurn)
+	x.report.PossibleGoodputPerSecond = perSecond(len(through), addedTurns*addedTurn)
+	p50, p99 := quantiles(through)
+	s50, s99 := quantiles(straight)
+	x.report.AddedLatencyP50Ms = p50 - s50
+	x.report.AddedLatencyP99Ms = p99 - s99
+	x.report.Notes = append(x.report.Notes, fmt.Sprintf("through %.2f/%.2f ms, straight %.2f/%.2f ms", p50, p99, s50, s99))
+	return x.attempts()
+}
+
+func (x *experiment) addedTurn(turn int, target string) []driver.Outcome {
+	return driver.New(x.seed+uint64(turn)).Run(context.Background(), addedTurn, []driver.Stream{{
+		Name:    "golf",
+		Key:     launcher.Key("golf"),
+		Method:  "POST",
+		Path:    "/lookup",
+		Targets: []string{target},
+		Rate:    constant(addedRate),
+		Timeout: shareDeadline,
+	}})
+}
--- /dev/null
+++ b/internal/measure/experimenter/deepslow.go
@@ -0,0 +1,138 @@
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/measure/driver"
+	"github.com/chivegauge/chivegauge/internal/measure/launcher"
+	"github.com/chivegauge/chivegauge/internal/standin/worker"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	calmTime      = 8 * time.Second
+	triggerTime   = 10 * time.Second
+	afterTime     = 10 * time.Second
+	deepRate      = 120.0
+	deepSlots     = 8
+	deepServiceMs = 40
+	slowFactor    = 5
+	deepCount     = 2
+	deepDeadline  = 2 * time.Second
+	resendsMax    = 5
+)
+
+// chain returns services that call each other in a row, the last one with other slots and service time.
+func chain(names []string, slots int, serviceMs float64, last service) []service {
+	list := make([]service, 0, len(names)+1)
+	for n, name := range names {
+		next := last.name
+		if n+1 < len(names) {
+			next = names[n+1]
+		}
+		list = append(list, service{
+			name:      name,
+			count:     deepCount,
+			slots:     slots,
+			serviceMs: serviceMs,
+			nested:    []string{"/" + next},
+		})
+	}
+	return append(list, last)
+}
+
+// startChain starts a chain of services and one workspace that may use it.
+func (x *experiment) startChain(services []service, deadline time.Duration) error {
+	if err := x.start(services...); err != nil {
+		return err
+	}
+	first := x.fleet.Sites[0]
+	if err := x.fleet.Apply(first, launcher.SetWorkspace("golf", 10000, 2000), launcher.GiveKey("golf", "golf1")); err != nil {
+		return err
+	}
+	for _, s := range services {
+		if err := x.fleet.Apply(first, launcher.SetRoute(route(s.name, s.name, chivegauge.Normal, deadline))); err != nil {
+			return err
+		}
+	}
+	return x.ready()
+}
+
+// deepSlow slows the deepest of four services five times while demand doubles and clients resend at once.
+func deepSlow(x *experiment) error {
+	last := service{
+		name:      "dispatch",
+		count:     deepCount,
+		slots:     deepSlots,
+		serviceMs: deepServiceMs,
+	}
+	if err := x.startChain(chain([]string{"lookup", "booking", "haulage"}, 100, 4, last), deepDeadline); err != nil {
+		return err
+	}
+	end := calmTime + triggerTime
+	total := end + afterTime
+	stream := driver.Stream{
+		Name:    "golf",
+		Key:     launcher.Key("golf1"),
+		Method:  "POST",
+		Path:    "/lookup",
+		Targets: callers(x.sitesOf("lookup")),
+		Rate: func(t time.Duration) float64 {
+			if t >= calmTime && t < end {
+				return 2 * deepRate
+			}
+			return deepRate
+		},
+		Resends: resendsMax,
+		Timeout: deepDeadline + time.Second,
+		Keyed:   true,
+	}
+	var list []driver.Outcome
+	group := errgroup.Group{}
+	group.Go(func() error {
+		time.Sleep(calmTime)
+		if err := x.slow("dispatch", last, slowFactor); err != nil {
+			return err
+		}
+		time.Sleep(triggerTime)
+		return x.slow("dispatch", last, 1)
+	})
+	list = driver.New(x.seed).Run(context.Background(), total, []driver.Stream{stream})
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	x.deepFigures(list, end, total)
+	return x.runs(list)
+}
+
+// slow multiplies the service time of a service.
+func (x *experiment) slow(name string, s service, factor float64) error {
+	set := func(c worker.Config) worker.Config {
+		c.ServiceMs *= factor
+		return c
+	}
+	return x.configure(name, set, worker.Config{
+		Slots:       s.slots,
+		ServiceMs:   s.serviceMs,
+		JitterShare: 0.2,
+		EchoesToken: true,
+	})
+}
+
+func (x *experiment) deepFigures(list []driver.Outcome, end, total time.Duration) {
+	before := between(list, calmTime/2, calmTime)
+	during := between(list, calmTime, end)
+	share := float64(wholeCount(before)) / float64(max(1, len(before)))
+	x.report.OfferedPerSecond = perSecond(len(during), triggerTime)
+	x.report.GoodputPerSecond = perSecond(wholeCount(during), triggerTime)
+	capacity := float64(deepCount*deepSlots) * millisPerSec / (deepServiceMs * slowFactor)
+	x.report.PossibleGoodputPerSecond = min(capacity, 2*deepRate)
+	x.report.RecoverySeconds = recovery(list, share, end, total)
+	x.report.Notes = append(x.report.Notes,
+		fmt.Sprintf("before: %.3f whole of %d", share, len(before)),
+		fmt.Sprintf("during: %v", codes(during)),
+		fmt.Sprintf("after: %v", codes(between(list, end, total))))
+}
--- /dev/null
+++ b/internal/measure/experimenter/faults.go
@@ -0,0 +1,142 @@
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/chivegauge/chivegauge/internal/measure/driver"
+	"github.com/chivegauge/chivegauge/internal/measure/launcher"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	nineRate     = 60.0
+	nineDeadline = 4 * time.Second
+	nineTime     = 20 * time.Second
+	nineCrash    = 8 * time.Second
+	nineRestart  = 500 * time.Millisecond
+	nineColdMs   = "1000"
+	changeTime   = 24 * time.Second
+	changePause  = 400 * time.Millisecond
+	changeCount  = 20
+)
+
+// nineDeep crashes and restarts one of the deepest backend servers of a chain of nine services.
+func nineDeep(x *experiment) error {
+	names := []string{"one", "two", "three", "four", "five", "six", "seven", "eight"}
+	last := service{
+		name:      "nine",
+		count:     deepCount,
+		slots:     5,
+		serviceMs: 100,
+		args:      []string{"--cold-ms", nineColdMs},
+	}
+	if err := x.startChain(chain(names, 100, 1, last), nineDeadline); err != nil {
+		return err
+	}
+	victim := x.sitesOf("nine")[0]
+	group := errgroup.Group{}
+	group.Go(func() error {
+		time.Sleep(nineCrash)
+		victim.Backend.Kill()
+		time.Sleep(nineRestart)
+		return x.fleet.StartBackend(victim)
+	})
+	list := driver.New(x.seed).Run(context.Background(), nineTime, []driver.Stream{{
+		Name:    "golf",
+		Key:     launcher.Key("golf1"),
+		Method:  "POST",
+		Path:    "/one",
+		Targets: callers(x.sitesOf("one")),
+		Rate:    constant(nineRate),
+		Timeout: nineDeadline + time.Second,
+	}})
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	before := between(list, 2*time.Second, nineCrash)
+	share := float64(wholeCount(before)) / float64(max(1, len(before)))
+	x.report.OfferedPerSecond = perSecond(len(list), nineTime)
+	x.report.GoodputPerSecond = perSecond(wholeCount(list), nineTime)
+	x.report.PossibleGoodputPerSecond = x.report.OfferedPerSecond
+	x.report.RecoverySeconds = recovery(list, share, nineCrash+nineRestart, nineTime)
+	x.note("before", before)
+	x.note("from the crash", between(list, nineCrash, nineTime))
+	return x.runs(list)
+}
+
+// change gives and withdraws keys under load and watches that no revision lags or goes back.
+func change(x *experiment) error {
+	if err := x.startRated([]string{"golf"}); err != nil {
+		return err
+	}
+	group := errgroup.Group{}
+	group.Go(x.changes)
+	list := driver.New(x.seed).Run(context.Background(), changeTime, []driver.Stream{
+		x.sharedStream("golf", "golf", "normal", inRateShare*rateOf),
+	})
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	x.rateFigures(list)
+	x.inRate(list)
+	return x.runs(list)
+}
+
+func (x *experiment) changes() error {
+	slowest := time.Duration(0)
+	for n := range changeCount {
+		id := fmt.Sprintf("k%d", n)
+		site := x.fleet.Sites[n%len(x.fleet.Sites)]
+		if err := x.fleet.Apply(site, launcher.GiveKey("golf", id)); err != nil {
+			return err
+		}
+		took, err := x.inForce()
+		if err != nil {
+			return err
+		}
+		slowest = max(slowest, took)
+		if err := x.fleet.Apply(site, launcher.WithdrawKey("golf", id)); err != nil {
+			return err
+		}
+		if took, err = x.inForce(); err != nil {
+			return err
+		}
+		slowest = max(slowest, took)
+		time.Sleep(changePause)
+	}
+	x.report.RecoverySeconds = slowest.Seconds()
+	x.report.Notes = append(x.report.Notes, fmt.Sprintf("%d changes, the slowest in force everywhere after %d ms", 2*changeCount, slowest.Milliseconds()))
+	return nil
+}
+
+// inForce returns how long it takes until each node has the newest revision in force.
+func (x *experiment) inForce() (time.Duration, error) {
+	start := time.Now()
+	for {
+		lowest, highest, err := x.revisions()
+		if err != nil {
+			return 0, err
+		}
+		if lowest == highest || time.Since(start) > changeTime {
+			return time.Since(start), nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (x *experiment) revisions() (lowest, highest float64, err error) {
+	for n, s := range x.fleet.Sites {
+		r, err := x.fleet.Metric(s, "chivegauge_configuration_revision")
+		if err != nil {
+			return 0, 0, err
+		}
+		if n == 0 {
+			lowest = r
+		}
+		lowest = min(lowest, r)
+		highest = max(highest, r)
+	}
+	return lowest, highest, nil
+}
--- /dev/null
+++ b/internal/measure/experimenter/figures.go
@@ -0,0 +1,90 @@
+package experimenter
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/chivegauge/chivegauge/internal/measure/driver"
+)
+
+const (
+	recoveryBucket = 500 * time.Millisecond
+	recoveredShare = 0.95
+	latencyMaxUs   = 60_000_000
+	latencyDigits  = 3
+	usPerMs        = 1000
+)
+
+// between returns the outcomes of requests intended from a to b.
+func between(list []driver.Outcome, a, b time.Duration) []driver.Outcome {
+	var out []driver.Outcome
+	for _, o := range list {
+		if o.Intended >= a && o.Intended < b {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// ofStream returns the outcomes of one stream.
+func ofStream(list []driver.Outcome, name string) []driver.Outcome {
+	var out []driver.Outcome
+	for _, o := range list {
+		if o.Stream == name {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func wholeCount(list []driver.Outcome) int {
+	n := 0
+	for _, o := range list {
+		if o.Whole {
+			n++
+		}
+	}
+	return n
+}
+
+func perSecond(n int, d time.Duration) float64 {
+	return float64(n) / d.Seconds()
+}
+
+// recovery returns the seconds after end until the share of whole answers is back at 95% of before.
+func recovery(list []driver.Outcome, before float64, end, last time.Duration) float64 {
+	for at := end; at+recoveryBucket <= last; at += recoveryBucket {
+		bucket := between(list, at, at+recoveryBucket)
+		if len(bucket) == 0 {
+			continue
+		}
+		if float64(wholeCount(bucket))/float64(len(bucket)) >= recoveredShare*before {
+			return (at - end).Seconds()
+		}
+	}
+	return (last - end).Seconds()
+}
+
+// quantiles returns the median and the 99th percentile of the latencies of whole answers, in milliseconds.
+func quantiles(list []driver.Outcome) (p50, p99 float64) {
+	h := hdrhistogram.New(1, latencyMaxUs, latencyDigits)
+	for _, o := range list {
+		if o.Whole {
+			_ = h.RecordValue(o.Latency.Microseconds())
+		}
+	}
+	return float64(h.ValueAtQuantile(50)) / usPerMs, float64(h.ValueAtQuantile(99)) / usPerMs
+}
+
+// codes counts how the requests ended.
+func codes(list []driver.Outcome) map[string]int {
+	m := map[string]int{}
+	for _, o := range list {
+		if o.Whole {
+			m["Whole"]++
+			continue
+		}
+		m[o.Code+o.Run]++
+	}
+	return m
+}
--- /dev/null
+++ b/internal/measure/experimenter/shares.go
@@ -0,0 +1,129 @@
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/measure/driver"
+	"github.com/chivegauge/chivegauge/internal/measure/launcher"
+)
+
+const (
+	shareTime     = 12 * time.Second
+	shareSkip     = 4 * time.Second
+	shareSlots    = 10
+	shareMs       = 50
+	shareCount    = 2
+	shareDeadline = time.Second
+	shareCapacity = shareCount * shareSlots * millisPerSec / shareMs
+)
+
+// startShared starts one service behind an ingress service that only takes callers' requests.
+func (x *experiment) startShared(workspaces []string, rate, burst float64) error {
+	if err := x.start(
+		service{
+			name:      "booking",
+			count:     shareCount,
+			slots:     shareSlots,
+			serviceMs: shareMs,
+		},
+		service{
+			name:      "entry",
+			count:     2,
+			slots:     10,
+			serviceMs: 1,
+		},
+	); err != nil {
+		return err
+	}
+	first := x.fleet.Sites[0]
+	for _, r := range []chivegauge.Route{
+		route("critical", "booking", chivegauge.Critical, shareDeadline),
+		route("normal", "booking", chivegauge.Normal, shareDeadline),
+		route("low", "booking", chivegauge.Low, shareDeadline),
+	} {
+		if err := x.fleet.Apply(first, launcher.SetRoute(r)); err != nil {
+			return err
+		}
+	}
+	for _, w := range workspaces {
+		if err := x.fleet.Apply(first, launcher.SetWorkspace(w, rate, burst), launcher.GiveKey(w, w)); err != nil {
+			return err
+		}
+	}
+	return x.ready()
+}
+
+func (x *experiment) sharedStream(name, workspace, path string, rate float64) driver.Stream {
+	return driver.Stream{
+		Name:    name,
+		Key:     launcher.Key(workspace),
+		Method:  "POST",
+		Path:    "/" + path,
+		Targets: callers(x.fleet.Sites),
+		Rate:    constant(rate),
+		Timeout: shareDeadline + time.Second,
+	}
+}
+
+// importance offers three times the capacity at three importances.
+func importance(x *experiment) error {
+	if err := x.startShared([]string{"golf"}, 100000, 20000); err != nil {
+		return err
+	}
+	list := driver.New(x.seed).Run(context.Background(), shareTime, []driver.Stream{
+		x.sharedStream("critical", "golf", "critical", 0.3*shareCapacity),
+		x.sharedStream("normal", "golf", "normal", 1.2*shareCapacity),
+		x.sharedStream("low", "golf", "low", 1.5*shareCapacity),
+	})
+	x.shareFigures(list)
+	highest := ofStream(between(list, shareSkip, shareTime), "critical")
+	x.report.InRateRequests = len(highest)
+	x.report.WrongfulRefusals = len(highest) - wholeCount(highest)
+	for _, name := range []string{"critical", "normal", "low"} {
+		x.note(name, ofStream(between(list, shareSkip, shareTime), name))
+	}
+	return x.runs(list)
+}
+
+func (x *experiment) note(name string, list []driver.Outcome) {
+	x.report.Notes = append(x.report.Notes, fmt.Sprintf("%s: %v", name, codes(list)))
+}
+
+func (x *experiment) shareFigures(list []driver.Outcome) {
+	window := shareTime - shareSkip
+	steady := between(list, shareSkip, shareTime)
+	x.report.OfferedPerSecond = perSecond(len(steady), window)
+	x.report.GoodputPerSecond = perSecond(wholeCount(steady), window)
+	x.report.PossibleGoodputPerSecond = min(shareCapacity, x.report.OfferedPerSecond)
+}
+
+// unfair has five workspaces over capacity in one importance, one of which sends ten times the others.
+func unfair(x *experiment) error {
+	names := []string{"greedy", "golf", "estate", "caterer", "club"}
+	if err := x.startShared(names, 100000, 20000); err != nil {
+		return err
+	}
+	fair := shareCapacity / float64(len(names))
+	offered := 1.4 * fair
+	streams := make([]driver.Stream, 0, len(names))
+	for n, name := range names {
+		rate := offered
+		if n == 0 {
+			rate = 10 * offered
+		}
+		streams = append(streams, x.sharedStream(name, name, "normal", rate))
+	}
+	list := driver.New(x.seed).Run(context.Background(), shareTime, streams)
+	x.shareFigures(list)
+	worst := 1e9
+	for _, name := range names {
+		steady := ofStream(between(list, shareSkip, shareTime), name)
+		worst = min(worst, perSecond(wholeCount(steady), shareTime-shareSkip)/fair)
+		x.note(name, steady)
+	}
+	x.report.WorstWorkspaceShare = worst
+	return x.runs(list)
+}
--- a/internal/policy/admitter/book.go
+++ b/internal/policy/admitter/book.go
@@ -10,19 +10,23 @@
 	levelFresh     = 300 * time.Millisecond
 	levelLifetime  = time.Second
 	reachLifetime  = time.Minute
-	levelNewShare  = 0.5
+	levelNewShare  = 0.3
 	bookRoutesMax  = 10000
+	bookLevelsMax  = 100000
 	reachesPerPath = 64
 )
 
 // Book remembers the levels of the services that each route reaches.
 type Book interface {
-	// Learn takes in the levels that an answer on the route carried.
-	Learn(now time.Time, route string, levels []chivegauge.ServiceLevel)
-	// Admits reports whether no service that the route reaches would refuse the priority.
-	Admits(now time.Time, route string, priority int) bool
-	// Level returns the highest level among the services that the route reaches.
-	Level(now time.Time, route string) int
+	// Learn takes in the levels that an answer to a call of the class on the route carried.
+	Learn(now time.Time, route string, c Class, levels []chivegauge.ServiceLevel)
+	// Level returns the highest level for the class among the services that the route reaches.
+	Level(now time.Time, route string, c Class) int
+}
+
+type levelKey struct {
+	service string
+	class   Class
 }
 
 type heard struct {
@@ -31,37 +35,71 @@
 }
 
 type book struct {
-	levels  map[string]heard
+	levels  map[levelKey]heard
 	reaches map[string]map[string]time.Time
 }
 
 // NewBook returns an empty book.
 func NewBook() Book {
 	return &book{
-		levels:  map[string]heard{},
+		levels:  map[levelKey]heard{},
 		reaches: map[string]map[string]time.Time{},
 	}
 }
 
 // Learn takes in levels and which services the route reaches.
-func (b *book) Learn(now time.Time, route string, levels []chivegauge.ServiceLevel) {
+func (b *book) Learn(now time.Time, route string, c Class, levels []chivegauge.ServiceLevel) {
+	reach := b.reach(route)
+	for _, l := range levels {
+		if len(reach) < reachesPerPath {
+			reach[l.Service] = now
+		}
+		k := levelKey{
+			service: l.Service,
+			class:   c,
+		}
+		old := decayed(now, b.levels[k])
+		if l.Level == 0 && old == 0 {
+			delete(b.levels, k)
+			continue
+		}
+		b.hear(now, k, old+levelNewShare*(float64(l.Level)-old))
+	}
+}
+
+func (b *book) reach(route string) map[string]time.Time {
 	reach := b.reaches[route]
 	if reach == nil {
-		if len(b.reaches) >= bookRoutesMax {
-			return
-		}
 		reach = map[string]time.Time{}
-		b.reaches[route] = reach
+		if len(b.reaches) < bookRoutesMax {
+			b.reaches[route] = reach
+		}
 	}
-	for _, l := range levels {
-		if len(reach) < reachesPerPath {
-			reach[l.Service] = now
+	return reach
+}
+
+func (b *book) hear(now time.Time, k levelKey, level float64) {
+	if len(b.levels) >= bookLevelsMax {
+		b.evict(now)
+	}
+	b.levels[k] = heard{
+		level: level,
+		at:    now,
+	}
+}
+
+// evict forgets the levels that have fallen to zero, or one level if there is none.
+func (b *book) evict(now time.Time) {
+	for k, h := range b.levels {
+		if decayed(now, h) == 0 {
+			delete(b.levels, k)
 		}
-		old := decayed(now, b.levels[l.Service])
-		b.levels[l.Service] = heard{
-			level: old + levelNewShare*(float64(l.Level)-old),
-			at:    now,
+	}
+	for k := range b.levels {
+		if len(b.levels) < bookLevelsMax {
+			return
 		}
+		delete(b.levels, k)
 	}
 }
 
@@ -77,20 +115,19 @@
 	return h.level * (1 - float64(age-levelFresh)/float64(levelLifetime))
 }
 
-// Level returns the highest level among the services that the route reaches.
-func (b *book) Level(now time.Time, route string) int {
+// Level returns the highest level for the class among the services that the route reaches.
+func (b *book) Level(now time.Time, route string, c Class) int {
 	highest := 0.0
 	for service, at := range b.reaches[route] {
 		if now.Sub(at) > reachLifetime {
 			delete(b.reaches[route], service)
 			continue
 		}
-		highest = max(highest, decayed(now, b.levels[service]))
+		k := levelKey{
+			service: service,
+			class:   c,
+		}
+		highest = max(highest, decayed(now, b.levels[k]))
 	}
 	return int(highest)
 }
-
-// Admits reports whether the priority is at or above the level of the route.
-func (b *book) Admits(now time.Time, route string, priority int) bool {
-	return priority >= b.Level(now, route)
-}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -121,7 +121,7 @@
 func (d *dispatcher) Admits(c chivegauge.Call) *chivegauge.Refusal {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.book == nil || d.book.Admits(d.now(), c.Route, admitter.Priority(c.Importance, c.Root())) {
+	if d.book == nil || admitter.Ticket(c.Root) >= d.book.Level(d.now(), c.Route, admitter.ClassOf(c)) {
 		return nil
 	}
 	return chivegauge.Refuse(chivegauge.CodeOverloaded, "a service that the route reaches is overloaded")
@@ -147,7 +147,7 @@
 		}
 	}
 	last = honest(last, ran)
-	d.learn(c.Route, last.Levels)
+	d.learn(c, last.Levels)
 	return last.WithTokens(account.Left())
 }
 
@@ -245,10 +245,10 @@
 	}
 }
 
-func (d *dispatcher) learn(route string, levels []chivegauge.ServiceLevel) {
+func (d *dispatcher) learn(c chivegauge.Call, levels []chivegauge.ServiceLevel) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.book != nil && len(levels) > 0 {
-		d.book.Learn(d.now(), route, levels)
+		d.book.Learn(d.now(), c.Route, admitter.ClassOf(c), levels)
 	}
 }
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -160,7 +160,7 @@
 func (e *executor) finish(r *Run, a chivegauge.Answer) {
 	level := chivegauge.ServiceLevel{
 		Service: e.service,
-		Level:   e.gate.Level(),
+		Level:   e.gate.Level(r.Call),
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/request/gatekeeper/gatekeeper.go
+++ b/internal/request/gatekeeper/gatekeeper.go
@@ -30,8 +30,8 @@
 	Leave(p Pass, failed bool)
 	// Load returns the running and waiting requests and the limit.
 	Load() picker.Load
-	// Level returns the admission level of this backend server.
-	Level() int
+	// Level returns the admission level of this backend server for calls such as c.
+	Level(c chivegauge.Call) int
 	// SetDraining refuses all new requests while it is on; those waiting still run.
 	SetDraining(on bool)
 }
@@ -159,9 +159,7 @@
 	if g.control == nil {
 		return nil
 	}
-	p := admitter.Priority(c.Importance, c.Root())
-	g.control.Arrive(now, p)
-	if p < g.control.Level(now) {
+	if !g.control.Admit(now, admitter.ClassOf(c), admitter.Ticket(c.Root)) {
 		return overloaded("below the admission level")
 	}
 	return nil
@@ -218,6 +216,9 @@
 		Waiting:  g.queue.Len(),
 		Failed:   failed,
 	})
+	if g.control != nil {
+		g.control.Finished(now)
+	}
 	for g.running < g.limit.Limit() {
 		next, expired, ok := g.queue.Pop(now)
 		for _, it := range expired {
@@ -244,14 +245,14 @@
 	}
 }
 
-// Level returns the admission level.
-func (g *gatekeeper) Level() int {
+// Level returns the admission level for calls such as c.
+func (g *gatekeeper) Level(c chivegauge.Call) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.control == nil {
 		return 0
 	}
-	return g.control.Level(g.now())
+	return g.control.Level(g.now(), admitter.ClassOf(c))
 }
 
 // SetDraining refuses all new requests while it is on.
--- a/internal/request/hopper/wire.go
+++ b/internal/request/hopper/wire.go
@@ -40,6 +40,7 @@
 		return errors.Wrap(err, "encode header fields")
 	}
 	set(chivegauge.HeaderRequest, c.RequestID)
+	set(chivegauge.HeaderRoot, strconv.FormatUint(c.Root, numberBase))
 	set(chivegauge.HeaderAttempt, c.AttemptID)
 	set(chivegauge.HeaderRoute, c.Route)
 	set(chivegauge.HeaderWorkspace, c.Workspace)
@@ -85,6 +86,9 @@
 		return c, errors.Wrap(err, "read budget")
 	}
 	c.Deadline = now.Add(time.Duration(budget) * time.Millisecond)
+	if c.Root, err = strconv.ParseUint(get(chivegauge.HeaderRoot), numberBase, 64); err != nil {
+		return c, errors.Wrap(err, "read root")
+	}
 	if c.Tokens, err = strconv.Atoi(get(chivegauge.HeaderTokens)); err != nil {
 		return c, errors.Wrap(err, "read tokens")
 	}
@@ -173,12 +177,12 @@
 
 // EncodeIncarnation returns the incarnation in the form in which it travels.
 func EncodeIncarnation(n uint64) string {
-	return strconv.FormatUint(n, incarnationBase)
+	return strconv.FormatUint(n, numberBase)
 }
 
 // DecodeIncarnation returns the incarnation in s, or an error.
 func DecodeIncarnation(s string) (uint64, error) {
-	return strconv.ParseUint(s, incarnationBase, 64)
+	return strconv.ParseUint(s, numberBase, 64)
 }
 
-const incarnationBase = 16
+const numberBase = 16
