--- a/internal/policy/admitter/controller.go
+++ b/internal/policy/admitter/controller.go
@@ -10,9 +10,9 @@
 
 const (
 	controlWindow  = 100 * time.Millisecond
-	waitTarget     = 10 * time.Millisecond
+	waitTarget     = 20 * time.Millisecond
 	smoothing      = 0.3
-	shrink         = 0.95
+	shrink         = 0.98
 	growthFirst    = 1.05
 	growthStep     = 1.5
 	growthMax      = 2.0
@@ -51,6 +51,7 @@
 	capacity float64
 	growth   float64
 	finished int
+	served   float64
 	waits    time.Duration
 	waited   int
 	refused  int
@@ -138,6 +139,7 @@
 
 // measure smooths the rates per window of what was admitted.
 func (c *controller) measure(windows float64) {
+	c.served += smoothing * (float64(c.finished)/windows - c.served)
 	for k, d := range c.classes {
 		d.rate += smoothing * (d.seen/windows - d.rate)
 		d.seen = 0
@@ -161,7 +163,7 @@
 func (c *controller) adapt(overloaded bool) {
 	switch {
 	case overloaded:
-		c.capacity = shrink * max(float64(c.finished), c.admitted()*slewDown)
+		c.capacity = shrink * max(c.served, c.admitted()*slewDown)
 		c.growth = growthFirst
 		c.shedding = true
 	case c.shedding:
--- a/internal/policy/limiter/probe.go
+++ b/internal/policy/limiter/probe.go
@@ -5,9 +5,10 @@
 const (
 	probeWindow        = 100 * time.Millisecond
 	probeLongWindow    = time.Second
-	probeSamples       = 40
+	probeSamples       = 60
 	probeStep          = 0.1
-	probeKneeShare     = 0.5
+	probeDownShare     = 0.25
+	probeUpShare       = 0.4
 	probeSaturatedPart = 0.5
 )
 
@@ -112,24 +113,24 @@
 	p.restart(now, mean)
 }
 
-// judgeDown keeps the lower limit if it cost less than half of the step in throughput.
+// judgeDown keeps the lower limit if it cost less than a quarter of the step in throughput.
 func (p *probe) judgeDown(throughput float64) {
 	step := max(1, p.base*probeStep) / p.base
 	lower := p.stepped()
 	p.phase = phaseHold
-	if throughput >= p.held*(1-step*probeKneeShare) {
+	if throughput >= p.held*(1-step*probeDownShare) {
 		p.base = p.bounds.clamp(lower)
 		return
 	}
 	p.up = true
 }
 
-// judgeUp keeps the higher limit if it gained more than half of the step in throughput.
+// judgeUp keeps the higher limit if it gained enough of the step in throughput.
 func (p *probe) judgeUp(throughput float64) {
 	step := max(1, p.base*probeStep) / p.base
 	higher := p.stepped()
 	p.phase = phaseHold
-	if throughput >= p.held*(1+step*probeKneeShare) {
+	if throughput >= p.held*(1+step*probeUpShare) {
 		p.base = p.bounds.clamp(higher)
 		return
 	}
--- a/internal/request/dispatcher/rule.go
+++ b/internal/request/dispatcher/rule.go
@@ -16,7 +16,7 @@
 	chivegauge.CodeNoBackend:      true,
 	chivegauge.CodeDraining:       true,
 	chivegauge.CodeNotReady:       true,
-	chivegauge.CodeOverloaded:     true,
+	chivegauge.CodeBusy:           true,
 	chivegauge.CodeOutcomeUnknown: true,
 }
 
--- a/internal/request/gatekeeper/gatekeeper.go
+++ b/internal/request/gatekeeper/gatekeeper.go
@@ -102,13 +102,13 @@
 	case <-ctx.Done():
 		v = g.abandon(item, ch, chivegauge.Refuse(chivegauge.CodeCancelled, "cancelled while waiting"))
 	case <-timer.C:
-		v = g.abandon(item, ch, overloaded("waited too long"))
+		v = g.abandon(item, ch, busy("waited too long"))
 	}
 	return v.pass, v.refusal
 }
 
-func overloaded(message string) *chivegauge.Refusal {
-	return chivegauge.Refuse(chivegauge.CodeOverloaded, message)
+func busy(message string) *chivegauge.Refusal {
+	return chivegauge.Refuse(chivegauge.CodeBusy, message)
 }
 
 // arrive decides at once, or queues the call and returns the channel of its verdict.
@@ -135,7 +135,7 @@
 	g.waiters[item.ID] = ch
 	if victim, full := g.queue.Push(item); full {
 		g.answer(victim, verdict{
-			refusal: overloaded("the queue is full"),
+			refusal: busy("the queue is full"),
 		})
 		g.waited(now, 0, true)
 	}
@@ -160,7 +160,7 @@
 		return nil
 	}
 	if !g.control.Admit(now, admitter.ClassOf(c), admitter.Ticket(c.Root)) {
-		return overloaded("below the admission level")
+		return chivegauge.Refuse(chivegauge.CodeOverloaded, "below the admission level")
 	}
 	return nil
 }
@@ -198,7 +198,7 @@
 	}
 	delete(g.waiters, it.ID)
 	now := g.now()
-	g.waited(now, now.Sub(it.Queued), refusal.Code == chivegauge.CodeOverloaded)
+	g.waited(now, now.Sub(it.Queued), refusal.Code == chivegauge.CodeBusy)
 	return verdict{
 		refusal: refusal,
 	}
@@ -223,7 +223,7 @@
 		next, expired, ok := g.queue.Pop(now)
 		for _, it := range expired {
 			g.answer(it, verdict{
-				refusal: overloaded("waited too long"),
+				refusal: busy("waited too long"),
 			})
 			g.waited(now, now.Sub(it.Queued), true)
 		}
--- a/refusal.go
+++ b/refusal.go
@@ -17,6 +17,7 @@
 	CodeBadRequest      Code = "BadRequest"
 	CodeRateExceeded    Code = "RateExceeded"
 	CodeOverloaded      Code = "Overloaded"
+	CodeBusy            Code = "Busy"
 	CodeDeadline        Code = "DeadlineExceeded"
 	CodeCancelled       Code = "Cancelled"
 	CodeNoBackend       Code = "NoBackendServer"
