Keep the rates of workspaces fleet-wide by lent tokens

Keepers hold slots of each rate and lend tokens for 2 s; loans are debited first and reported by cumulative counts, so messages may be lost, doubled or reordered. A slot changes its keeper only by handover, by a successor on the same address, or by an operator's word.

--- a/internal/app/supervisor/control.go
+++ b/internal/app/supervisor/control.go
@@ -8,6 +8,7 @@
 	"github.com/chivegauge/chivegauge/internal/cluster/heartbeater"
 	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
 	"github.com/chivegauge/chivegauge/internal/request/executor"
+	"github.com/chivegauge/chivegauge/internal/request/rater"
 	"github.com/chivegauge/chivegauge/internal/request/tracker"
 	"github.com/twitchtv/twirp"
 )
@@ -16,11 +17,12 @@
 type control struct {
 	heartbeater.Heartbeater
 	executor executor.Executor
+	shares   rater.Shares
 }
 
 // Draw gives rate tokens from the slots kept here.
-func (c *control) Draw(context.Context, *messenger.DrawRequest) (*messenger.DrawResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "no slots are kept here")
+func (c *control) Draw(_ context.Context, r *messenger.DrawRequest) (*messenger.DrawResponse, error) {
+	return c.shares.Draw(r), nil
 }
 
 // Cancel ends an attempt that its sender no longer waits for.
--- a/internal/app/supervisor/parts.go
+++ b/internal/app/supervisor/parts.go
@@ -11,6 +11,7 @@
 	"github.com/chivegauge/chivegauge/internal/cluster/heartbeater"
 	"github.com/chivegauge/chivegauge/internal/cluster/planner"
 	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
+	"github.com/chivegauge/chivegauge/internal/cluster/slotter"
 	"github.com/chivegauge/chivegauge/internal/cluster/surveyor"
 	"github.com/chivegauge/chivegauge/internal/cluster/watcher"
 	"github.com/chivegauge/chivegauge/internal/platform/loader"
@@ -52,6 +53,9 @@
 	hopper    hopper.Hopper
 	dispatch  dispatcher.Dispatcher
 	rates     rater.Rater
+	shares    rater.Shares
+	slotter   slotter.Slotter
+	slots     watcher.Watcher
 	meter     meter.Meter
 }
 
@@ -66,7 +70,6 @@
 		dialer:   dialer.New(sec.peerClient),
 		config:   configurer.New(),
 		executor: newExecutor(s),
-		rates:    rater.NewUnlimited(),
 	}
 	docs := replicator.New()
 	docs.Register(configurer.DocumentName, p.config.Accept)
@@ -76,11 +79,53 @@
 	p.watcher = watcher.New(p.store, p.fleet, configurer.DocumentName, refresh)
 	p.planner = planner.New(p.store, configurer.DocumentName, p.fleet)
 	p.surveyor = surveyor.New(p.dialer)
+	p.share(s, docs)
 	p.hopper = newHopper(s, sec, p.dialer)
 	p.dispatch = newDispatcher(s, p)
 	return p, nil
 }
 
+// share makes the rates of workspaces hold across the fleet, in the way that the settings say.
+func (p *parts) share(s loader.Settings, docs replicator.Replicator) {
+	p.shares = rater.NewShares(timekeeper.Now, s.Listeners.Peer.Address, p.dialer.Control)
+	p.slotter = slotter.New(p.store, p.fleet, p.shares, p.gone)
+	p.shares.Follow(p.slotter)
+	docs.Register(slotter.DocumentName, p.slotter.Accept)
+	p.slots = watcher.New(p.store, p.fleet, slotter.DocumentName, loader.Millis(s.Store.RefreshMs))
+	p.config.Listen(p.shares.Configure)
+	switch s.Policy.Rates {
+	case "Shares":
+		p.rates = p.shares
+	case "Split":
+		r := rater.NewSplit(timekeeper.Now, p.alive)
+		p.config.Listen(r.Configure)
+		p.rates = r
+	default:
+		p.rates = rater.NewUnlimited()
+	}
+}
+
+// gone reports whether an operator declared the address gone.
+func (p *parts) gone(address string) bool {
+	for _, d := range p.config.Configuration().Departures {
+		if d.Instance == address && d.Reason == chivegauge.Gone {
+			return true
+		}
+	}
+	return false
+}
+
+// alive returns the number of living members, at least 1.
+func (p *parts) alive() int {
+	n := 0
+	for _, m := range p.fleet.Members() {
+		if m.Serving() {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
 func newFleet(s loader.Settings, d dialer.Dialer, docs replicator.Replicator, log zerolog.Logger) heartbeater.Heartbeater {
 	now := timekeeper.Now()
 	self := chivegauge.Member{
--- a/internal/app/supervisor/stop.go
+++ b/internal/app/supervisor/stop.go
@@ -22,6 +22,9 @@
 	pause(ctx, tellTime)
 	v.parts.executor.SetDraining(true)
 	v.wait(ctx)
+	if err := v.parts.slotter.HandOver(ctx); err != nil {
+		v.log.Warn().Err(err).Msg("rate slots not handed over")
+	}
 	v.parts.fleet.SetState(chivegauge.Left)
 	if err := v.parts.announcer.Withdraw(ctx); err != nil {
 		v.log.Warn().Err(err).Msg("announcement not withdrawn")
--- a/internal/app/supervisor/supervisor.go
+++ b/internal/app/supervisor/supervisor.go
@@ -160,6 +160,7 @@
 	peers := &control{
 		Heartbeater: v.parts.fleet,
 		executor:    v.parts.executor,
+		shares:      v.parts.shares,
 	}
 	exchange := exchanger.New(timekeeper.Now, v.parts.executor, v.parts.fleet.Self, peers)
 	relay := relayer.New(timekeeper.Now, v.parts.executor, v.parts.config, v.parts.dispatch)
@@ -171,6 +172,9 @@
 	tree.Add(part{"heartbeats", v.parts.fleet.Serve})
 	tree.Add(part{"announcement", v.parts.announcer.Serve})
 	tree.Add(part{"configuration", v.parts.watcher.Serve})
+	tree.Add(part{"slots document", v.parts.slots.Serve})
+	tree.Add(part{"slots", v.parts.slotter.Serve})
+	tree.Add(part{"shares", v.parts.shares.Serve})
 	tree.Add(part{"sweep", v.sweep})
 	tree.Add(part{"departure", v.followConfiguration})
 	return nil
--- a/internal/cluster/heartbeater/heartbeater.go
+++ b/internal/cluster/heartbeater/heartbeater.go
@@ -159,14 +159,7 @@
 func (h *heartbeater) exchange(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Timeout)
 	defer cancel()
-	h.mu.Lock()
-	req := &messenger.HeartbeatRequest{
-		Sender:   fromMember(h.table.Self()),
-		News:     fromMembers(h.table.News()),
-		Versions: fromVersions(h.docs.Versions()),
-		WantAll:  !h.whole,
-	}
-	h.mu.Unlock()
+	req := h.request()
 	res, err := h.dialer.Control(address).Heartbeat(ctx, req)
 	if err != nil {
 		return err
@@ -178,6 +171,19 @@
 	return nil
 }
 
+// request builds a heartbeat; the documents' lock is never taken under h.mu.
+func (h *heartbeater) request() *messenger.HeartbeatRequest {
+	versions := fromVersions(h.docs.Versions())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return &messenger.HeartbeatRequest{
+		Sender:   fromMember(h.table.Self()),
+		News:     fromMembers(h.table.News()),
+		Versions: versions,
+		WantAll:  !h.whole,
+	}
+}
+
 // take applies news and fetches documents that the peer holds in a newer version.
 func (h *heartbeater) take(address string, peer *messenger.Member, news []*messenger.Member, versions []*messenger.Version) {
 	h.Learn(toMember(peer))
@@ -285,6 +291,7 @@
 // Heartbeat answers the heartbeat of another node.
 func (h *heartbeater) Heartbeat(_ context.Context, r *messenger.HeartbeatRequest) (*messenger.HeartbeatResponse, error) {
 	h.take(r.GetSender().GetAddress(), r.GetSender(), r.GetNews(), r.GetVersions())
+	versions := fromVersions(h.docs.Versions())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	news := h.table.News()
@@ -294,7 +301,7 @@
 	return &messenger.HeartbeatResponse{
 		Responder:  fromMember(h.table.Self()),
 		News:       fromMembers(news),
-		Versions:   fromVersions(h.docs.Versions()),
+		Versions:   versions,
 		Violations: asserter.Total(),
 	}, nil
 }
--- a/internal/cluster/planner/intent.go
+++ b/internal/cluster/planner/intent.go
@@ -36,7 +36,7 @@
 
 const (
 	spreadMax      = 64
-	burstPerKeeper = 2
+	burstPerKeeper = 8
 )
 
 // apply returns the configuration with the intent carried out and a line that says what changes.
--- /dev/null
+++ b/internal/cluster/slotter/slotter.go
@@ -0,0 +1,214 @@
+package slotter
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
+	"github.com/chivegauge/chivegauge/internal/platform/storer"
+	"github.com/chivegauge/chivegauge/internal/policy/allocator"
+	"github.com/go-faster/errors"
+)
+
+// DocumentName is the key of the slots document in the store.
+const DocumentName = "slots"
+
+const (
+	period     = time.Second
+	retryMax   = 15 * time.Second
+	settleTime = 1500 * time.Millisecond
+
+	handOverTries = 5
+)
+
+// Fleet is the membership and where a written document is told.
+type Fleet interface {
+	Self() chivegauge.Member
+	Members() []chivegauge.Member
+	Offer(d replicator.Document) error
+}
+
+// Slots is where slots are kept.
+type Slots interface {
+	Open(slot int, fresh bool)
+	Close(slot int)
+	Keeps(slot int) bool
+}
+
+// Slotter keeps the node's slots as the document says.
+type Slotter interface {
+	// Accept takes a newer document into force, or returns an error.
+	Accept(d replicator.Document) error
+	// Holder returns the keeper of a slot.
+	Holder(slot int) chivegauge.SlotHolder
+	// Serve changes the document when the allocation asks for it, until the context ends.
+	Serve(ctx context.Context) error
+	// HandOver gives all slots away, for a planned stop.
+	HandOver(ctx context.Context) error
+}
+
+type slotter struct {
+	store storer.Store
+	fleet Fleet
+	slots Slots
+	gone  func(address string) bool
+
+	mu      sync.Mutex
+	doc     chivegauge.Slots
+	version uint64
+	given   map[int]uint64
+}
+
+// New returns a slotter; gone reports whether an operator declared an address gone.
+func New(s storer.Store, f Fleet, slots Slots, gone func(address string) bool) Slotter {
+	return &slotter{
+		store: s,
+		fleet: f,
+		slots: slots,
+		gone:  gone,
+		given: map[int]uint64{},
+	}
+}
+
+// Accept takes a newer document into force.
+func (s *slotter) Accept(d replicator.Document) error {
+	doc, err := chivegauge.DecodeSlots(d.Value)
+	if err != nil {
+		return err
+	}
+	self := s.fleet.Self()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doc = doc
+	s.version = d.Version
+	for n, h := range doc.Slots {
+		s.follow(n, h, self, d.Version)
+	}
+	return nil
+}
+
+// follow opens or closes a slot; one that was given away in a write of unknown
+// outcome stays closed until a later document says who keeps it.
+func (s *slotter) follow(n int, h chivegauge.SlotHolder, self chivegauge.Member, version uint64) {
+	if !h.HeldBy(self) {
+		delete(s.given, n)
+		if s.slots.Keeps(n) {
+			s.slots.Close(n)
+		}
+		return
+	}
+	if given, ok := s.given[n]; ok && version <= given {
+		return
+	}
+	_, reopened := s.given[n]
+	delete(s.given, n)
+	if !s.slots.Keeps(n) {
+		s.slots.Open(n, h.Fresh && !reopened)
+	}
+}
+
+// Holder returns the keeper of a slot.
+func (s *slotter) Holder(slot int) chivegauge.SlotHolder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.doc.Slots[slot]
+}
+
+// Serve changes the document when the allocation asks for it.
+func (s *slotter) Serve(ctx context.Context) error {
+	wait := settleTime
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+		wait = period
+		if s.fleet.Self().State != chivegauge.Alive {
+			continue
+		}
+		if err := s.change(ctx); err != nil && !errors.Is(err, storer.ErrConflict) {
+			wait = retryMax
+		}
+	}
+}
+
+// change writes what the allocation asks for, on the document in force.
+func (s *slotter) change(ctx context.Context) error {
+	s.mu.Lock()
+	c := s.decide()
+	version := s.version
+	s.mu.Unlock()
+	if !c.Any {
+		return nil
+	}
+	if version == 0 {
+		if found, err := s.read(ctx); found || err != nil {
+			return err
+		}
+	}
+	s.release(c.Release, version)
+	value, err := json.Marshal(c.Slots)
+	if err != nil {
+		return errors.Wrap(err, "encode slots")
+	}
+	o, err := s.store.Put(ctx, DocumentName, value, version)
+	if err != nil {
+		_, readErr := s.read(ctx)
+		return errors.Join(err, readErr)
+	}
+	return s.fleet.Offer(replicator.Document{
+		Name:    DocumentName,
+		Version: o.Version,
+		Value:   o.Value,
+	})
+}
+
+func (s *slotter) decide() allocator.Change {
+	return allocator.Decide(allocator.View{
+		Self:    s.fleet.Self(),
+		Members: s.fleet.Members(),
+		Slots:   s.doc,
+		Gone:    s.gone,
+	})
+}
+
+// read takes in the stored document and reports whether there is one.
+func (s *slotter) read(ctx context.Context) (bool, error) {
+	o, err := s.store.Get(ctx, DocumentName)
+	if errors.Is(err, storer.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	return true, s.fleet.Offer(replicator.Document{
+		Name:    DocumentName,
+		Version: o.Version,
+		Value:   o.Value,
+	})
+}
+
+// release stops keeping slots before the write that gives them away.
+func (s *slotter) release(slots []int, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range slots {
+		s.slots.Close(n)
+		s.given[n] = version
+	}
+}
+
+// HandOver gives all slots away; what can't be given is lost until this address or an operator speaks again.
+func (s *slotter) HandOver(ctx context.Context) error {
+	var err error
+	for range handOverTries {
+		if err = s.change(ctx); err == nil {
+			return nil
+		}
+	}
+	return err
+}
