Report spent rate tokens in time; hand slots over a few at a time

Cause of the wrongful refusals: a keeper counts tokens as lent until the holder reports them spent, and a holder that asked other slots in turn, or whose demand had moved away, reported late, so that the slot's bucket stood still. Now the least reported slot is asked first and overdue reports are sent within 100 ms.

--- a/internal/measure/experimenter/figures.go
+++ b/internal/measure/experimenter/figures.go
@@ -88,3 +88,14 @@
 	}
 	return m
 }
+
+// refusedBySecond returns how many requests were not answered whole in each second.
+func refusedBySecond(list []driver.Outcome) map[int]int {
+	m := map[int]int{}
+	for _, o := range list {
+		if !o.Whole {
+			m[int(o.Intended.Seconds())]++
+		}
+	}
+	return m
+}
--- a/internal/measure/experimenter/rates.go
+++ b/internal/measure/experimenter/rates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -60,8 +61,11 @@
 	for _, name := range names[1:] {
 		x.inRate(ofStream(list, name))
 	}
-	for _, name := range names {
+	for n, name := range names {
 		x.note(name, ofStream(list, name))
+		if n > 0 {
+			x.report.Notes = append(x.report.Notes, fmt.Sprintf("refused by second: %v", refusedBySecond(ofStream(list, name))))
+		}
 	}
 	spent := wholeCount(ofStream(list, "greedy"))
 	allowed := rateOf*(rateTime+shareDeadline).Seconds() + burstOf
@@ -96,5 +100,6 @@
 	x.rateFigures(list)
 	x.inRate(list)
 	x.note("all", list)
+	x.report.Notes = append(x.report.Notes, fmt.Sprintf("refused by second: %v", refusedBySecond(list)))
 	return x.runs(list)
 }
--- a/internal/policy/admitter/admitter_test.go
+++ b/internal/policy/admitter/admitter_test.go
@@ -2,19 +2,19 @@
 
 import (
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/policy/admitter"
 	"github.com/chivegauge/chivegauge/internal/policy/scheduler"
-	"github.com/chivegauge/chivegauge/internal/telemetry/asserter"
+	"github.com/chivegauge/chivegauge/internal/proof/seeder"
 	"github.com/matryer/is"
 )
 
 func TestMain(m *testing.M) {
-	asserter.SetStrict(true)
-	m.Run()
+	os.Exit(seeder.Run(m))
 }
 
 const (
--- a/internal/policy/allocator/allocator.go
+++ b/internal/policy/allocator/allocator.go
@@ -7,7 +7,10 @@
 	"github.com/chivegauge/chivegauge"
 )
 
-const slack = 1
+const (
+	slack    = 1
+	levelMax = 4
+)
 
 // View is what a node knows when it decides.
 type View struct {
@@ -76,7 +79,7 @@
 	return best, best.Address != ""
 }
 
-// level hands slots over to the members that keep the fewest, until none keeps much more than its part.
+// level hands a few slots over to the members that keep the fewest, until none keeps much more than its part.
 func (v View) level(c *Change) {
 	counts := v.counts(c.Slots)
 	for n, h := range c.Slots.Slots {
@@ -84,7 +87,7 @@
 			continue
 		}
 		target, least := v.fewest(counts)
-		if counts[v.Self.Address] <= least+slack {
+		if counts[v.Self.Address] <= least+slack || len(c.Release) == levelMax {
 			return
 		}
 		c.give(n, target)
--- a/internal/policy/holder/holder.go
+++ b/internal/policy/holder/holder.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"sort"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -13,6 +14,7 @@
 	refillPart     = 0.5
 	stockBurstPart = 0.25
 	idleTime       = 200 * time.Millisecond
+	reportPart     = 0.25
 	dryMin         = 20 * time.Millisecond
 	missingTime    = 500 * time.Millisecond
 	whole          = 1.0
@@ -48,6 +50,7 @@
 	tokens   float64
 	consumed float64
 	returned float64
+	reported float64
 	ends     time.Time
 	dry      time.Time
 	asking   bool
@@ -196,7 +199,7 @@
 	return draws
 }
 
-// order returns the slots that may be asked, the preferred ones first, the others in turn.
+// order returns the slots that may be asked: those kept here, then those whose keepers know least of what was spent.
 func (h *holder) order(now time.Time, a *account) []int {
 	var first, rest []int
 	for n := range a.slots {
@@ -212,9 +215,15 @@
 		rest = append(rest, slot)
 	}
 	a.next++
+	sort.SliceStable(rest, func(i, j int) bool { return a.loans[rest[i]].unreported() > a.loans[rest[j]].unreported() })
 	return append(first, rest...)
 }
 
+// unreported returns the tokens spent that the keeper still counts as lent.
+func (l *loan) unreported() float64 {
+	return l.consumed - l.reported
+}
+
 func (a *account) draw(now time.Time, workspace string, slot int, want float64) keeper.Draw {
 	l := a.loan(slot)
 	if !now.Before(l.ends) {
@@ -237,6 +246,7 @@
 	l.tokens = 0
 	l.consumed = 0
 	l.returned = 0
+	l.reported = 0
 }
 
 // Granted adds the tokens lent; they may be spent until their time, counted from the sending of the draw, is over.
@@ -252,7 +262,9 @@
 		return
 	}
 	if g.Lease != 0 {
-		if g.Lease != l.lease {
+		if g.Lease == l.lease {
+			l.reported = max(l.reported, d.Consumed)
+		} else {
 			l.reset(g.Lease)
 		}
 		l.tokens += g.Granted
@@ -291,22 +303,32 @@
 	return max(0, wait)
 }
 
-// Idle gives back the tokens of workspaces without demand, debiting them first.
+// Idle gives back the tokens of workspaces without demand, debiting them first, and reports what was spent.
 func (h *holder) Idle(now time.Time) []keeper.Draw {
 	var draws []keeper.Draw
 	for name, a := range h.accounts {
-		if now.Sub(a.asked) < idleTime {
-			continue
-		}
+		idle := now.Sub(a.asked) >= idleTime
 		for _, slot := range a.slots {
 			l := a.loans[slot]
-			if l == nil || l.asking || l.usable(now) <= tiny {
+			if l == nil || l.asking || !now.Before(l.ends) {
 				continue
 			}
-			l.returned += l.tokens
-			l.tokens = 0
-			draws = append(draws, a.draw(now, name, slot, 0))
+			if idle && l.tokens > tiny {
+				l.returned += l.tokens
+				l.tokens = 0
+				draws = append(draws, a.draw(now, name, slot, 0))
+				continue
+			}
+			if a.overdue(l, idle) {
+				draws = append(draws, a.draw(now, name, slot, 0))
+			}
 		}
 	}
 	return draws
 }
+
+// overdue reports whether so much was spent unreported that the slot's bucket may stand still.
+func (a *account) overdue(l *loan, idle bool) bool {
+	spent := l.unreported()
+	return spent > a.burst/float64(len(a.slots))*reportPart || (idle && spent > tiny)
+}
--- a/internal/policy/limiter/limiter_test.go
+++ b/internal/policy/limiter/limiter_test.go
@@ -3,16 +3,16 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
-	"github.com/chivegauge/chivegauge/internal/telemetry/asserter"
+	"github.com/chivegauge/chivegauge/internal/proof/seeder"
 	"github.com/matryer/is"
 )
 
 func TestMain(m *testing.M) {
-	asserter.SetStrict(true)
-	m.Run()
+	os.Exit(seeder.Run(m))
 }
 
 // ending is the end of one simulated run.
--- a/internal/request/rater/shares.go
+++ b/internal/request/rater/shares.go
@@ -18,7 +18,6 @@
 	drawTimeout = 300 * time.Millisecond
 	sweepPeriod = 100 * time.Millisecond
 	drawsMax    = 64
-	roundsMax   = 4
 )
 
 // Directory says who keeps a slot.
@@ -123,7 +122,7 @@
 // takeDry asks keepers for tokens in a few rounds, while the time allows it.
 func (s *shares) takeDry(ctx context.Context, workspace string) *chivegauge.Refusal {
 	deadline := s.now().Add(waitMax)
-	for range roundsMax {
+	for s.now().Before(deadline) {
 		s.mu.Lock()
 		if s.holder.Take(s.now(), workspace) {
 			s.mu.Unlock()
