Run a request with an idempotency key at most once

Weighed: (a) an owner per key by rendezvous hashing, memory only; (b) the same with a birth time issued by the system, which costs a round trip a request; (c) a record in the store per request: at 180,000 calls a second and 5% of them non-idempotent roots that is thousands of writes a second against several hundred, and every outage refuses them all; (d) batches of (c), which still stop in an outage. Chosen: (a), with the rule that silence proves nothing: an owner that is away keeps its keys, a restarted one answers outcome unknown for two minutes, a planned stop hands the keys over, and a new owner asks those before it.

--- a/call.go
+++ b/call.go
@@ -27,6 +27,7 @@
 	Deadline       time.Time
 	Tokens         int
 	Depth          int
+	Forwards       int
 	Method         string
 	Target         string
 	Header         []HeaderField
@@ -49,6 +50,12 @@
 	return xxhash.Sum64String(requestID)
 }
 
+// WithForwards returns the call as one sent n times towards the owner of its idempotency key.
+func (c Call) WithForwards(n int) Call {
+	c.Forwards = n
+	return c
+}
+
 // Budget returns the time left at now, never below zero.
 func (c Call) Budget(now time.Time) time.Duration {
 	return max(0, c.Deadline.Sub(now))
--- a/header.go
+++ b/header.go
@@ -23,7 +23,7 @@
 	HeaderRun         = HeaderPrefix + "Run"
 	HeaderContext     = HeaderPrefix + "Context"
 	HeaderRunning     = HeaderPrefix + "Running"
-	HeaderOwned       = HeaderPrefix + "Owned"
+	HeaderForwards    = HeaderPrefix + "Forwards"
 	HeaderRetryAfter  = "Retry-After"
 	HeaderIdempotency = "Idempotency-Key"
 )
--- a/internal/app/supervisor/control.go
+++ b/internal/app/supervisor/control.go
@@ -7,6 +7,8 @@
 	"github.com/chivegauge/chivegauge/internal/cluster/dialer"
 	"github.com/chivegauge/chivegauge/internal/cluster/heartbeater"
 	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
+	"github.com/chivegauge/chivegauge/internal/policy/rememberer"
+	"github.com/chivegauge/chivegauge/internal/request/deduplicator"
 	"github.com/chivegauge/chivegauge/internal/request/executor"
 	"github.com/chivegauge/chivegauge/internal/request/rater"
 	"github.com/chivegauge/chivegauge/internal/request/tracker"
@@ -18,6 +20,7 @@
 	heartbeater.Heartbeater
 	executor executor.Executor
 	shares   rater.Shares
+	dedup    deduplicator.Deduplicator
 }
 
 // Draw gives rate tokens from the slots kept here.
@@ -36,8 +39,20 @@
 }
 
 // Recall says what is remembered of an idempotency key.
-func (c *control) Recall(context.Context, *messenger.RecallRequest) (*messenger.RecallResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "no keys are kept here")
+func (c *control) Recall(_ context.Context, r *messenger.RecallRequest) (*messenger.RecallResponse, error) {
+	return &messenger.RecallResponse{
+		Known: c.dedup.Yield(r.GetKey()),
+	}, nil
+}
+
+// Remember takes over what another node remembers.
+func (c *control) Remember(_ context.Context, r *messenger.RememberRequest) (*messenger.RememberResponse, error) {
+	records := make([]rememberer.Record, 0, len(r.GetRecords()))
+	for _, rec := range r.GetRecords() {
+		records = append(records, toRecord(rec))
+	}
+	c.dedup.Remembers(records)
+	return &messenger.RememberResponse{}, nil
 }
 
 // Blame takes in news of a request that ended with its backend server's death.
--- /dev/null
+++ b/internal/app/supervisor/keys.go
@@ -0,0 +1,112 @@
+package supervisor
+
+import (
+	"context"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/dialer"
+	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
+	"github.com/chivegauge/chivegauge/internal/platform/timekeeper"
+	"github.com/chivegauge/chivegauge/internal/policy/rememberer"
+)
+
+const (
+	forever       = 100 * 365 * 24 * time.Hour
+	handOverTime  = 5 * time.Second
+	handOverBytes = 512 << 10
+	handOverKeys  = 500
+)
+
+// recaller asks peers to yield idempotency keys.
+type recaller struct {
+	dialer dialer.Dialer
+}
+
+// Recall asks the member to yield the key.
+func (r *recaller) Recall(ctx context.Context, m chivegauge.Member, key string) (bool, error) {
+	res, err := r.dialer.Control(m.Address).Recall(ctx, &messenger.RecallRequest{
+		Key: key,
+	})
+	if err != nil {
+		return false, err
+	}
+	return res.GetKnown(), nil
+}
+
+// predecessor makes the node forgetful for a while if an earlier process ended without handing its keys over.
+func (p *parts) predecessor(ended bool) {
+	until := timekeeper.Now()
+	if ended {
+		until = until.Add(rememberer.Retention)
+	}
+	p.dedup.Forgetful(until)
+}
+
+// handOverKeys sends what the node remembers to the next owners.
+func (p *parts) handOverKeys(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	for address, records := range p.dedup.Records() {
+		for len(records) > 0 {
+			n := batch(records)
+			req := &messenger.RememberRequest{}
+			for _, rec := range records[:n] {
+				req.Records = append(req.Records, fromRecord(rec))
+			}
+			if _, err := p.dialer.Control(address).Remember(ctx, req); err != nil {
+				return err
+			}
+			records = records[n:]
+		}
+	}
+	return nil
+}
+
+// batch returns how many records fit into one message, at least one.
+func batch(records []rememberer.Record) int {
+	bytes := 0
+	for n, rec := range records {
+		bytes += len(rec.Answer.Body)
+		if n > 0 && (bytes > handOverBytes || n == handOverKeys) {
+			return n
+		}
+	}
+	return len(records)
+}
+
+func fromRecord(rec rememberer.Record) *messenger.KeyRecord {
+	r := &messenger.KeyRecord{
+		Key:         rec.Key,
+		Fingerprint: rec.Fingerprint,
+		Verdict:     int32(rec.Verdict),
+		Status:      int32(rec.Answer.Status),
+		Body:        rec.Answer.Body,
+	}
+	for _, f := range rec.Answer.Header {
+		r.Header = append(r.Header, &messenger.Field{
+			Name:  f.Name,
+			Value: f.Value,
+		})
+	}
+	return r
+}
+
+func toRecord(r *messenger.KeyRecord) rememberer.Record {
+	rec := rememberer.Record{
+		Key:         r.GetKey(),
+		Fingerprint: r.GetFingerprint(),
+		Verdict:     rememberer.Verdict(r.GetVerdict()),
+		Answer: chivegauge.Answer{
+			Status: int(r.GetStatus()),
+			Body:   r.GetBody(),
+		},
+	}
+	for _, f := range r.GetHeader() {
+		rec.Answer.Header = append(rec.Answer.Header, chivegauge.HeaderField{
+			Name:  f.GetName(),
+			Value: f.GetValue(),
+		})
+	}
+	return rec
+}
--- a/internal/app/supervisor/parts.go
+++ b/internal/app/supervisor/parts.go
@@ -22,6 +22,7 @@
 	"github.com/chivegauge/chivegauge/internal/policy/limiter"
 	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/chivegauge/chivegauge/internal/policy/scheduler"
+	"github.com/chivegauge/chivegauge/internal/request/deduplicator"
 	"github.com/chivegauge/chivegauge/internal/request/dispatcher"
 	"github.com/chivegauge/chivegauge/internal/request/executor"
 	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
@@ -33,10 +34,10 @@
 )
 
 const (
-	cancelTimeout   = time.Second
-	unlimitedSlots  = 100000
-	perHopAttempts  = 3
-	storeOfflineMax = 30 * time.Second
+	cancelTimeout  = time.Second
+	unlimitedSlots = 100000
+	perHopAttempts = 3
+	ratesShares    = "Shares"
 )
 
 // parts are what a node is built of, below its listeners.
@@ -52,6 +53,7 @@
 	executor  executor.Executor
 	hopper    hopper.Hopper
 	dispatch  dispatcher.Dispatcher
+	dedup     deduplicator.Deduplicator
 	rates     rater.Rater
 	shares    rater.Shares
 	slotter   slotter.Slotter
@@ -75,13 +77,19 @@
 	docs.Register(configurer.DocumentName, p.config.Accept)
 	p.fleet = newFleet(s, p.dialer, docs, log)
 	refresh := loader.Millis(s.Store.RefreshMs)
-	p.announcer = announcer.New(p.store, p.fleet, refresh)
+	p.announcer = announcer.New(p.store, p.fleet, refresh, p.predecessor)
 	p.watcher = watcher.New(p.store, p.fleet, configurer.DocumentName, refresh)
 	p.planner = planner.New(p.store, configurer.DocumentName, p.fleet)
 	p.surveyor = surveyor.New(p.dialer)
 	p.share(s, docs)
 	p.hopper = newHopper(s, sec, p.dialer)
 	p.dispatch = newDispatcher(s, p)
+	asks := &recaller{
+		dialer: p.dialer,
+	}
+	p.dedup = deduplicator.New(timekeeper.Now, p.fleet, p.dispatch, p.hopper, asks, p.gone)
+	p.dedup.Forgetful(timekeeper.Now().Add(forever))
+	p.executor.Follow(p.dedup)
 	return p, nil
 }
 
@@ -94,7 +102,7 @@
 	p.slots = watcher.New(p.store, p.fleet, slotter.DocumentName, loader.Millis(s.Store.RefreshMs))
 	p.config.Listen(p.shares.Configure)
 	switch s.Policy.Rates {
-	case "Shares":
+	case ratesShares:
 		p.rates = p.shares
 	case "Split":
 		r := rater.NewSplit(timekeeper.Now, p.alive)
--- a/internal/app/supervisor/stop.go
+++ b/internal/app/supervisor/stop.go
@@ -25,6 +25,9 @@
 	if err := v.parts.slotter.HandOver(ctx); err != nil {
 		v.log.Warn().Err(err).Msg("rate slots not handed over")
 	}
+	if err := v.parts.handOverKeys(ctx); err != nil {
+		v.log.Warn().Err(err).Msg("idempotency keys not handed over")
+	}
 	v.parts.fleet.SetState(chivegauge.Left)
 	if err := v.parts.announcer.Withdraw(ctx); err != nil {
 		v.log.Warn().Err(err).Msg("announcement not withdrawn")
--- a/internal/app/supervisor/supervisor.go
+++ b/internal/app/supervisor/supervisor.go
@@ -76,8 +76,9 @@
 	v.stage = stager.New(func(from, to stager.Stage) {
 		log.Info().Str("From", string(from)).Str("To", string(to)).Msg("stage changed")
 	})
-	v.receiver = receiver.New(timekeeper.Now, p.config, p.dispatch, p.rates, p.meter, s.Retries.Tokens)
+	v.receiver = receiver.New(timekeeper.Now, p.config, p.dispatch, p.dedup, p.rates, p.meter, v.serving, s.Retries.Tokens)
 	p.config.Listen(v.configured)
+	p.slotter.Listen(v.settled)
 	return v, v.gauges()
 }
 
@@ -98,7 +99,7 @@
 
 // configured takes note of whether the configuration lets this backend server serve.
 func (v *supervisor) configured(c chivegauge.Configuration) {
-	v.stage.Fire(stager.Configured)
+	v.settled()
 	leave := c.Departed(v.settings.Listeners.Peer.Address)
 	select {
 	case <-v.moves:
@@ -107,6 +108,19 @@
 	v.moves <- leave
 }
 
+// settled makes the node ready once it has a configuration and knows who keeps the rates.
+func (v *supervisor) settled() {
+	known := v.settings.Policy.Rates != ratesShares || v.parts.slotter.Known()
+	if known && v.parts.config.Version() > 0 {
+		v.stage.Fire(stager.Configured)
+	}
+}
+
+// serving reports whether callers are served.
+func (v *supervisor) serving() bool {
+	return v.stage.Stage() != stager.Starting
+}
+
 // Run serves until the context ends, then stops in the order of a planned stop.
 func (v *supervisor) Run(ctx context.Context) error {
 	tree := v.newTree("node")
@@ -161,9 +175,10 @@
 		Heartbeater: v.parts.fleet,
 		executor:    v.parts.executor,
 		shares:      v.parts.shares,
+		dedup:       v.parts.dedup,
 	}
 	exchange := exchanger.New(timekeeper.Now, v.parts.executor, v.parts.fleet.Self, peers)
-	relay := relayer.New(timekeeper.Now, v.parts.executor, v.parts.config, v.parts.dispatch)
+	relay := relayer.New(timekeeper.Now, v.parts.executor, v.parts.config, v.parts.dedup)
 	listeners.Add(v.listener("peer", l.Peer.Address, v.security.peerServer, max(body, controlBody), exchange.Routes))
 	listeners.Add(v.listener("egress", l.Egress.Address, nil, body, relay.Routes))
 	listeners.Add(v.listener("caller", l.Caller.Address, v.security.caller, body, v.receiver.Routes))
@@ -189,6 +204,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 			v.parts.executor.Sweep(timekeeper.Now())
+			v.parts.dedup.Sweep(timekeeper.Now())
 		}
 	}
 }
--- a/internal/cluster/announcer/announcer.go
+++ b/internal/cluster/announcer/announcer.go
@@ -23,6 +23,9 @@
 	Lonely() bool
 }
 
+// Predecessor is told once whether an earlier process on this address ended without withdrawing.
+type Predecessor func(ended bool)
+
 // Announcer keeps the node's announcement in the store.
 type Announcer interface {
 	// Serve announces the node and refreshes the announcement until the context ends.
@@ -35,14 +38,17 @@
 	store   storer.Store
 	members Membership
 	refresh time.Duration
+	before  Predecessor
+	told    bool
 }
 
 // New returns an announcer that refreshes the announcement in the given period.
-func New(s storer.Store, m Membership, refresh time.Duration) Announcer {
+func New(s storer.Store, m Membership, refresh time.Duration, before Predecessor) Announcer {
 	return &announcer{
 		store:   s,
 		members: m,
 		refresh: refresh,
+		before:  before,
 	}
 }
 
@@ -100,7 +106,10 @@
 	switch {
 	case err == nil:
 		version = o.Version
-	case !errors.Is(err, storer.ErrNotFound):
+		a.tell(earlier(o, self))
+	case errors.Is(err, storer.ErrNotFound):
+		a.tell(false)
+	default:
 		return errors.Wrap(err, "read announcement")
 	}
 	if _, err := a.store.Put(ctx, prefix+self.Address, value, version); err != nil {
@@ -109,6 +118,23 @@
 	return nil
 }
 
+// tell says once whether an earlier process ended without withdrawing its announcement.
+func (a *announcer) tell(ended bool) {
+	if a.told {
+		return
+	}
+	a.told = true
+	a.before(ended)
+}
+
+func earlier(o storer.Object, self chivegauge.Member) bool {
+	m := chivegauge.Member{}
+	if err := json.Unmarshal(o.Value, &m); err != nil {
+		return true
+	}
+	return m.Process() != self.Process()
+}
+
 // Withdraw removes the announcement.
 func (a *announcer) Withdraw(ctx context.Context) error {
 	return a.store.Delete(ctx, prefix+a.members.Self().Address)
--- a/internal/cluster/heartbeater/heartbeater.go
+++ b/internal/cluster/heartbeater/heartbeater.go
@@ -23,6 +23,7 @@
 	fetchTimeout    = 2 * time.Second
 	exchangeSlots   = 16
 	helperTimeScale = 2
+	meetingsMax     = 20000
 )
 
 // Config is the pace of the heartbeats.
@@ -43,6 +44,8 @@
 	Service(name string) []chivegauge.Member
 	// Learn takes in what was heard of a member.
 	Learn(m chivegauge.Member)
+	// Met returns when the first heartbeat was exchanged with the member's present process.
+	Met(m chivegauge.Member) (time.Time, bool)
 	// Lonely reports whether no other living member is known.
 	Lonely() bool
 	// SetState sets the node's own state and tells a number of members at once.
@@ -55,6 +58,12 @@
 	Fetch(ctx context.Context, r *messenger.FetchRequest) (*messenger.FetchResponse, error)
 }
 
+// meeting is the first exchange with a process of a member.
+type meeting struct {
+	process uint64
+	at      time.Time
+}
+
 type heartbeater struct {
 	cfg    Config
 	now    func() time.Time
@@ -65,6 +74,7 @@
 	mu    sync.Mutex
 	table gossiper.Table
 	whole bool
+	met   map[string]meeting
 
 	group sync.WaitGroup
 	slots chan struct{}
@@ -79,6 +89,7 @@
 		docs:   docs,
 		log:    log,
 		table:  t,
+		met:    map[string]meeting{},
 		slots:  make(chan struct{}, exchangeSlots),
 	}
 }
@@ -186,7 +197,7 @@
 
 // take applies news and fetches documents that the peer holds in a newer version.
 func (h *heartbeater) take(address string, peer *messenger.Member, news []*messenger.Member, versions []*messenger.Version) {
-	h.Learn(toMember(peer))
+	h.meet(toMember(peer))
 	for _, m := range news {
 		h.Learn(toMember(m))
 	}
@@ -249,6 +260,9 @@
 
 // Learn takes in what was heard of a member, and logs a change of its state.
 func (h *heartbeater) Learn(m chivegauge.Member) {
+	if m.Address == "" {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.table.Apply(h.now(), m) {
@@ -256,6 +270,27 @@
 	}
 }
 
+// meet takes in a heartbeat of the member itself.
+func (h *heartbeater) meet(m chivegauge.Member) {
+	h.Learn(m)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if m.Address != "" && h.met[m.Address].process != m.Process() && len(h.met) < meetingsMax {
+		h.met[m.Address] = meeting{
+			process: m.Process(),
+			at:      h.now(),
+		}
+	}
+}
+
+// Met returns when the first heartbeat was exchanged with the member's present process.
+func (h *heartbeater) Met(m chivegauge.Member) (time.Time, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	met, ok := h.met[m.Address]
+	return met.at, ok && met.process == m.Process()
+}
+
 // Self returns the node's own member.
 func (h *heartbeater) Self() chivegauge.Member {
 	h.mu.Lock()
--- a/internal/cluster/slotter/slotter.go
+++ b/internal/cluster/slotter/slotter.go
@@ -19,7 +19,7 @@
 const (
 	period     = time.Second
 	retryMax   = 15 * time.Second
-	settleTime = 1500 * time.Millisecond
+	settleTime = 500 * time.Millisecond
 
 	handOverTries = 5
 )
@@ -42,6 +42,10 @@
 type Slotter interface {
 	// Accept takes a newer document into force, or returns an error.
 	Accept(d replicator.Document) error
+	// Known reports whether a document is in force.
+	Known() bool
+	// Listen registers a function that is called with each document taken into force, before the first.
+	Listen(f func())
 	// Holder returns the keeper of a slot.
 	Holder(slot int) chivegauge.SlotHolder
 	// Serve changes the document when the allocation asks for it, until the context ends.
@@ -55,6 +59,7 @@
 	fleet Fleet
 	slots Slots
 	gone  func(address string) bool
+	taken func()
 
 	mu      sync.Mutex
 	doc     chivegauge.Slots
@@ -69,25 +74,43 @@
 		fleet: f,
 		slots: slots,
 		gone:  gone,
+		taken: func() {},
 		given: map[int]uint64{},
 	}
 }
 
+// Listen registers a listener.
+func (s *slotter) Listen(f func()) {
+	s.taken = f
+}
+
+// Known reports whether a document is in force.
+func (s *slotter) Known() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version > 0
+}
+
 // Accept takes a newer document into force.
 func (s *slotter) Accept(d replicator.Document) error {
 	doc, err := chivegauge.DecodeSlots(d.Value)
 	if err != nil {
 		return err
 	}
+	s.put(doc, d.Version)
+	s.taken()
+	return nil
+}
+
+func (s *slotter) put(doc chivegauge.Slots, version uint64) {
 	self := s.fleet.Self()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.doc = doc
-	s.version = d.Version
+	s.version = version
 	for n, h := range doc.Slots {
-		s.follow(n, h, self, d.Version)
+		s.follow(n, h, self, version)
 	}
-	return nil
 }
 
 // follow opens or closes a slot; one that was given away in a write of unknown
--- a/internal/listener/receiver/receiver.go
+++ b/internal/listener/receiver/receiver.go
@@ -28,9 +28,13 @@
 	Workspace(key string) (workspace, keyID string, refusal *chivegauge.Refusal)
 }
 
+// Admitter refuses requests that a service on their way would refuse.
+type Admitter interface {
+	Admits(c chivegauge.Call) *chivegauge.Refusal
+}
+
 // Dispatcher sends requests to services.
 type Dispatcher interface {
-	Admits(c chivegauge.Call) *chivegauge.Refusal
 	Dispatch(ctx context.Context, c chivegauge.Call) chivegauge.Answer
 }
 
@@ -52,22 +56,26 @@
 type receiver struct {
 	now        gatekeeper.Clock
 	config     Configuration
+	admitter   Admitter
 	dispatcher Dispatcher
 	rates      rater.Rater
 	counter    Counter
+	ready      func() bool
 	tokens     int
 	running    atomic.Int64
 	closing    atomic.Bool
 }
 
 // New returns a receiver; tokens is the number of retry tokens that a request is born with.
-func New(now gatekeeper.Clock, cfg Configuration, d Dispatcher, r rater.Rater, n Counter, tokens int) Receiver {
+func New(now gatekeeper.Clock, cfg Configuration, a Admitter, d Dispatcher, r rater.Rater, n Counter, ready func() bool, tokens int) Receiver {
 	return &receiver{
 		now:        now,
 		config:     cfg,
+		admitter:   a,
 		dispatcher: d,
 		rates:      r,
 		counter:    n,
+		ready:      ready,
 		tokens:     tokens,
 	}
 }
@@ -109,7 +117,7 @@
 }
 
 func (r *receiver) admit(ctx context.Context, call chivegauge.Call) *chivegauge.Refusal {
-	if refusal := r.dispatcher.Admits(call); refusal != nil {
+	if refusal := r.admitter.Admits(call); refusal != nil {
 		return refusal
 	}
 	if call.Workspace == "" {
@@ -120,6 +128,9 @@
 
 // build makes the call of a request; no header of the caller stands for one of the system's own.
 func (r *receiver) build(c *app.RequestContext, now time.Time) (chivegauge.Call, *chivegauge.Refusal) {
+	if !r.ready() {
+		return chivegauge.Call{}, chivegauge.Refuse(chivegauge.CodeNotReady, "the node has no configuration yet")
+	}
 	cfg := r.config.Configuration()
 	route, ok := cfg.Route(string(c.Method()), string(c.Path()))
 	if !ok || route.Internal {
--- /dev/null
+++ b/internal/request/deduplicator/deduplicator.go
@@ -0,0 +1,306 @@
+package deduplicator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
+	"github.com/chivegauge/chivegauge/internal/policy/rememberer"
+	"github.com/chivegauge/chivegauge/internal/request/tracker"
+)
+
+const (
+	keysMax     = 200000
+	answerBytes = 16 << 20
+	recallTime  = time.Second
+	forwardsMax = 2
+)
+
+// Members is the membership that owners are chosen from.
+type Members interface {
+	Self() chivegauge.Member
+	Service(name string) []chivegauge.Member
+	Met(m chivegauge.Member) (time.Time, bool)
+}
+
+// Dispatcher sends requests to services.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, c chivegauge.Call) chivegauge.Answer
+}
+
+// Remote carries a call to its owner.
+type Remote interface {
+	Hop(ctx context.Context, m chivegauge.Member, c chivegauge.Call) (chivegauge.Answer, picker.Load)
+}
+
+// Recaller asks another node to yield a key.
+type Recaller interface {
+	Recall(ctx context.Context, m chivegauge.Member, key string) (known bool, err error)
+}
+
+// Deduplicator sends requests to the owners of their idempotency keys.
+type Deduplicator interface {
+	// Dispatch returns the answer to the call; one with an idempotency key goes through the key's owner.
+	Dispatch(ctx context.Context, c chivegauge.Call) chivegauge.Answer
+	// Own answers a call whose key this node owns.
+	Own(ctx context.Context, c chivegauge.Call) chivegauge.Answer
+	// Yield lets another node run a key and reports whether it is known here.
+	Yield(key string) bool
+	// Remembers takes over records of another node.
+	Remembers(records []rememberer.Record)
+	// Records returns the records to hand over, by the address of their next owner.
+	Records() map[string][]rememberer.Record
+	// Forgetful says until when keys of an earlier process on this address may be unknown.
+	Forgetful(until time.Time)
+	// Sweep forgets old keys.
+	Sweep(now time.Time)
+}
+
+type deduplicator struct {
+	now      func() time.Time
+	members  Members
+	next     Dispatcher
+	remote   Remote
+	recaller Recaller
+	gone     func(address string) bool
+
+	mu        sync.Mutex
+	keys      rememberer.Rememberer
+	waiting   map[string]chan struct{}
+	forgetful time.Time
+	sequence  uint64
+}
+
+// New returns a deduplicator in front of a dispatcher; gone reports whether an operator declared an address gone.
+func New(now func() time.Time, m Members, next Dispatcher, r Remote, x Recaller, gone func(address string) bool) Deduplicator {
+	return &deduplicator{
+		now:      now,
+		members:  m,
+		next:     next,
+		remote:   r,
+		recaller: x,
+		gone:     gone,
+		keys:     rememberer.New(keysMax, answerBytes),
+		waiting:  map[string]chan struct{}{},
+	}
+}
+
+// Forgetful says until when keys of an earlier process may be unknown.
+func (d *deduplicator) Forgetful(until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forgetful = until
+}
+
+// Key returns the name under which a call is remembered.
+func Key(c chivegauge.Call) string {
+	return c.Service + "|" + c.Workspace + "|" + c.Route + "|" + c.IdempotencyKey
+}
+
+func fingerprint(c chivegauge.Call) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(c.Method + " " + c.Target + "\n")
+	_, _ = h.Write(c.Body)
+	return h.Sum64()
+}
+
+// Dispatch sends a call with an idempotency key to the key's owner, any other call on.
+func (d *deduplicator) Dispatch(ctx context.Context, c chivegauge.Call) chivegauge.Answer {
+	if c.Idempotent || c.IdempotencyKey == "" {
+		return d.next.Dispatch(ctx, c)
+	}
+	ranking := rememberer.Ranking(d.members.Service(c.Service), Key(c), d.gone)
+	if len(ranking) == 0 {
+		return d.next.Dispatch(ctx, c)
+	}
+	return d.toOwner(ctx, ranking[0], c)
+}
+
+func (d *deduplicator) toOwner(ctx context.Context, owner chivegauge.Member, c chivegauge.Call) chivegauge.Answer {
+	if owner.Address == d.members.Self().Address {
+		return d.Own(ctx, c)
+	}
+	if owner.State == chivegauge.Dead || c.Forwards >= forwardsMax {
+		return uncertain(c, "the node that remembers the idempotency key is away")
+	}
+	id := c.AttemptID
+	c = c.WithForwards(c.Forwards+1).WithAttempt(d.attempt(), c.Tokens)
+	answer, _ := d.remote.Hop(ctx, owner, c)
+	if answer.Refusal != nil && answer.Refusal.Code == chivegauge.CodeUnreachable {
+		return uncertain(c, "the node that remembers the idempotency key can't be reached")
+	}
+	answer.AttemptID = id
+	return answer
+}
+
+// attempt returns the ID of a hop to an owner, apart from those of the dispatcher.
+func (d *deduplicator) attempt() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sequence++
+	self := d.members.Self()
+	id := tracker.Attempt{
+		Sender:   tracker.Sender(self.Address, self.Process()) + "!",
+		Sequence: d.sequence,
+	}
+	return id.String()
+}
+
+func uncertain(c chivegauge.Call, message string) chivegauge.Answer {
+	return chivegauge.RefusalAnswer(c.AttemptID, chivegauge.Unknown(chivegauge.CodeOutcomeUnknown, message), c.Tokens)
+}
+
+// Own answers a call whose key this node owns: from memory, by joining its run, or by running it.
+func (d *deduplicator) Own(ctx context.Context, c chivegauge.Call) chivegauge.Answer {
+	key := Key(c)
+	if a, ok := d.remembered(ctx, c, key); ok {
+		return a
+	}
+	ranking := rememberer.Ranking(d.members.Service(c.Service), key, d.gone)
+	self := d.members.Self().Address
+	if len(ranking) > 0 && ranking[0].Address != self {
+		return d.toOwner(ctx, ranking[0], c)
+	}
+	if d.isForgetful() || d.yielded(key) {
+		return uncertain(c, "this node does not know what became of the idempotency key")
+	}
+	if a, ok := d.askElders(ctx, c, key, ranking); ok {
+		return a
+	}
+	return d.run(ctx, c, key)
+}
+
+func (d *deduplicator) isForgetful() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.now().Before(d.forgetful)
+}
+
+// yielded reports whether another node was allowed to run the key.
+func (d *deduplicator) yielded(key string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.keys.Look(d.now(), key, 0).Verdict == rememberer.Moved
+}
+
+// remembered answers from memory, or waits for the run of the key.
+func (d *deduplicator) remembered(ctx context.Context, c chivegauge.Call, key string) (chivegauge.Answer, bool) {
+	for {
+		d.mu.Lock()
+		rec := d.keys.Look(d.now(), key, fingerprint(c))
+		done := d.waiting[key]
+		d.mu.Unlock()
+		if rec.Verdict != rememberer.Running {
+			return answerOf(c, rec)
+		}
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return uncertain(c, "the request of this idempotency key still runs"), true
+		}
+	}
+}
+
+func answerOf(c chivegauge.Call, rec rememberer.Record) (chivegauge.Answer, bool) {
+	switch rec.Verdict {
+	case rememberer.Fresh, rememberer.Moved:
+		return chivegauge.Answer{}, false
+	case rememberer.Answered:
+		a := rec.Answer
+		a.AttemptID = c.AttemptID
+		return a.WithTokens(c.Tokens), true
+	case rememberer.Mismatched:
+		refusal := chivegauge.Refuse(chivegauge.CodeKeyReused, "the idempotency key came before with another request")
+		return chivegauge.RefusalAnswer(c.AttemptID, refusal, c.Tokens), true
+	default:
+		return uncertain(c, "the request of this idempotency key may have run; its answer is not known"), true
+	}
+}
+
+// askElders asks the nodes that may have owned the key before, and forwards the call to one that knows it.
+func (d *deduplicator) askElders(ctx context.Context, c chivegauge.Call, key string, ranking []chivegauge.Member) (chivegauge.Answer, bool) {
+	askCtx, cancel := context.WithTimeout(ctx, recallTime)
+	defer cancel()
+	for _, m := range rememberer.Elders(d.now(), ranking, d.members.Self().Address, d.members.Met) {
+		if m.State == chivegauge.Dead {
+			return uncertain(c, "a node that may remember the idempotency key is away"), true
+		}
+		known, err := d.recaller.Recall(askCtx, m, key)
+		if err != nil {
+			return uncertain(c, "a node that may remember the idempotency key does not answer"), true
+		}
+		if known {
+			return d.toOwner(ctx, m, c), true
+		}
+	}
+	return chivegauge.Answer{}, false
+}
+
+// run dispatches the call if it is the first of its key.
+func (d *deduplicator) run(ctx context.Context, c chivegauge.Call, key string) chivegauge.Answer {
+	d.mu.Lock()
+	rec := d.keys.Begin(d.now(), key, fingerprint(c))
+	done := make(chan struct{})
+	if rec.Verdict == rememberer.Fresh {
+		d.waiting[key] = done
+	}
+	d.mu.Unlock()
+	switch rec.Verdict {
+	case rememberer.Fresh:
+	case rememberer.Full:
+		refusal := chivegauge.Refuse(chivegauge.CodeBusy, "no further idempotency key can be remembered now")
+		return chivegauge.RefusalAnswer(c.AttemptID, refusal, c.Tokens)
+	default:
+		return d.Own(ctx, c)
+	}
+	answer := d.next.Dispatch(context.WithoutCancel(ctx), c.WithForwards(0))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.keys.Finish(d.now(), key, answer)
+	delete(d.waiting, key)
+	close(done)
+	answer.AttemptID = c.AttemptID
+	return answer
+}
+
+// Yield lets another node run a key.
+func (d *deduplicator) Yield(key string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.keys.Yield(d.now(), key)
+}
+
+// Remembers takes over records of another node.
+func (d *deduplicator) Remembers(records []rememberer.Record) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, rec := range records {
+		d.keys.Take(d.now(), rec)
+	}
+}
+
+// Records returns the records to hand over, by the address of their next owner.
+func (d *deduplicator) Records() map[string][]rememberer.Record {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	self := d.members.Self()
+	others := func(address string) bool { return address == self.Address || d.gone(address) }
+	byOwner := map[string][]rememberer.Record{}
+	for _, rec := range d.keys.Records() {
+		ranking := rememberer.Ranking(d.members.Service(self.Service), rec.Key, others)
+		if len(ranking) > 0 {
+			byOwner[ranking[0].Address] = append(byOwner[ranking[0].Address], rec)
+		}
+	}
+	return byOwner
+}
+
+// Sweep forgets old keys.
+func (d *deduplicator) Sweep(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.keys.Sweep(now)
+}
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -20,6 +20,11 @@
 	Send(ctx context.Context, c chivegauge.Call, token string) (chivegauge.Answer, *chivegauge.Refusal)
 }
 
+// Owner answers calls that were sent to the owner of their idempotency key.
+type Owner interface {
+	Own(ctx context.Context, c chivegauge.Call) chivegauge.Answer
+}
+
 // Executor runs calls on its backend server.
 type Executor interface {
 	// Execute runs the call, or joins it when its attempt is known, and returns the answer.
@@ -40,6 +45,8 @@
 	Sweep(now time.Time)
 	// Wait returns when each started run has ended.
 	Wait()
+	// Follow sets the owner of idempotency keys, before the first call.
+	Follow(o Owner)
 }
 
 type executor struct {
@@ -48,6 +55,7 @@
 	gate    gatekeeper.Gatekeeper
 	backend Backend
 	grace   time.Duration
+	owner   Owner
 
 	mu      sync.Mutex
 	group   sync.WaitGroup
@@ -143,6 +151,9 @@
 }
 
 func (e *executor) run(r *Run) chivegauge.Answer {
+	if r.Call.Forwards > 0 {
+		return e.owner.Own(r.Context, r.Call)
+	}
 	pass, refusal := e.gate.Enter(r.Context, r.Call)
 	if refusal != nil {
 		return chivegauge.RefusalAnswer(r.Call.AttemptID, refusal, r.Call.Tokens)
@@ -166,8 +177,11 @@
 	defer e.mu.Unlock()
 	delete(e.tokens, r.token)
 	delete(e.runs, r.attempt)
-	left, levels := r.settle(level)
-	r.answer = a.WithTokens(left).WithLevels(levels)
+	r.answer = a
+	if r.Call.Forwards == 0 {
+		left, levels := r.settle(level)
+		r.answer = a.WithTokens(left).WithLevels(levels)
+	}
 	e.tracker.Finish(e.now(), r.attempt, r.answer)
 	r.cancel()
 	close(r.done)
@@ -275,3 +289,8 @@
 func (e *executor) Wait() {
 	e.group.Wait()
 }
+
+// Follow sets the owner of idempotency keys.
+func (e *executor) Follow(o Owner) {
+	e.owner = o
+}
--- a/internal/request/hopper/wire.go
+++ b/internal/request/hopper/wire.go
@@ -49,6 +49,7 @@
 	set(chivegauge.HeaderBudgetMs, strconv.FormatInt(c.Budget(now).Milliseconds(), 10))
 	set(chivegauge.HeaderTokens, strconv.Itoa(c.Tokens))
 	set(chivegauge.HeaderDepth, strconv.Itoa(c.Depth))
+	set(chivegauge.HeaderForwards, strconv.Itoa(c.Forwards))
 	set(headerService, c.Service)
 	set(headerIdempotent, strconv.FormatBool(c.Idempotent))
 	set(headerMethod, c.Method)
@@ -92,6 +93,9 @@
 	if c.Tokens, err = strconv.Atoi(get(chivegauge.HeaderTokens)); err != nil {
 		return c, errors.Wrap(err, "read tokens")
 	}
+	if c.Forwards, err = strconv.Atoi(get(chivegauge.HeaderForwards)); err != nil {
+		return c, errors.Wrap(err, "read forwards")
+	}
 	if c.Depth, err = strconv.Atoi(get(chivegauge.HeaderDepth)); err != nil {
 		return c, errors.Wrap(err, "read depth")
 	}
--- a/refusal.go
+++ b/refusal.go
@@ -28,7 +28,7 @@
 	CodeNotReady        Code = "NotReady"
 	CodeOutcomeUnknown  Code = "OutcomeUnknown"
 	CodeAttemptConflict Code = "AttemptConflict"
-	CodeNotOwner        Code = "NotOwner"
+	CodeKeyReused       Code = "IdempotencyKeyReused"
 )
 
 // Run says whether the request ran at a backend server.
@@ -92,6 +92,7 @@
 	CodeContextUnknown:  http.StatusForbidden,
 	CodeQuarantined:     http.StatusUnprocessableEntity,
 	CodeAttemptConflict: http.StatusConflict,
+	CodeKeyReused:       http.StatusConflict,
 }
 
 // Status returns the HTTP status of the refusal.
