--- a/internal/app/supervisor/control.go
+++ b/internal/app/supervisor/control.go
@@ -40,8 +40,12 @@
 
 // Recall says what is remembered of an idempotency key.
 func (c *control) Recall(_ context.Context, r *messenger.RecallRequest) (*messenger.RecallResponse, error) {
+	known, err := c.dedup.Yield(r.GetKey())
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
 	return &messenger.RecallResponse{
-		Known: c.dedup.Yield(r.GetKey()),
+		Known: known,
 	}, nil
 }
 
--- a/internal/app/supervisor/keys.go
+++ b/internal/app/supervisor/keys.go
@@ -9,6 +9,7 @@
 	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
 	"github.com/chivegauge/chivegauge/internal/platform/timekeeper"
 	"github.com/chivegauge/chivegauge/internal/policy/rememberer"
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -48,6 +49,9 @@
 	ctx, cancel := context.WithTimeout(ctx, handOverTime)
 	defer cancel()
 	for address, records := range p.dedup.Records() {
+		if address == "" {
+			return errors.Errorf("no member is left to remember %d idempotency keys", len(records))
+		}
 		for len(records) > 0 {
 			n := batch(records)
 			req := &messenger.RememberRequest{}
--- a/internal/app/supervisor/stop.go
+++ b/internal/app/supervisor/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/app/stager"
+	"github.com/chivegauge/chivegauge/internal/policy/rememberer"
 )
 
 const (
@@ -25,8 +26,10 @@
 	if err := v.parts.slotter.HandOver(ctx); err != nil {
 		v.log.Warn().Err(err).Msg("rate slots not handed over")
 	}
+	pause(ctx, min(v.parts.dedup.Remains(), rememberer.Retention))
 	if err := v.parts.handOverKeys(ctx); err != nil {
-		v.log.Warn().Err(err).Msg("idempotency keys not handed over")
+		v.log.Warn().Err(err).Msg("idempotency keys not handed over; the stop counts as a crash")
+		return
 	}
 	v.parts.fleet.SetState(chivegauge.Left)
 	if err := v.parts.announcer.Withdraw(ctx); err != nil {
--- a/internal/cluster/gossiper/table.go
+++ b/internal/cluster/gossiper/table.go
@@ -115,7 +115,7 @@
 		return
 	}
 	if r.member.State == chivegauge.Draining {
-		t.set(now, r.member.WithState(chivegauge.Left))
+		t.set(now, r.member.WithState(chivegauge.Dead))
 		return
 	}
 	t.set(now, r.member.WithState(chivegauge.Suspect))
--- a/internal/cluster/heartbeater/heartbeater.go
+++ b/internal/cluster/heartbeater/heartbeater.go
@@ -168,9 +168,14 @@
 
 // exchange sends one heartbeat and takes in what comes back.
 func (h *heartbeater) exchange(ctx context.Context, address string) error {
+	return h.exchangeWith(ctx, address, false)
+}
+
+// exchangeWith sends one heartbeat; whole asks for the peer's whole table.
+func (h *heartbeater) exchangeWith(ctx context.Context, address string, whole bool) error {
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Timeout)
 	defer cancel()
-	req := h.request()
+	req := h.request(whole)
 	res, err := h.dialer.Control(address).Heartbeat(ctx, req)
 	if err != nil {
 		return err
@@ -178,12 +183,12 @@
 	h.mu.Lock()
 	h.whole = true
 	h.mu.Unlock()
-	h.take(address, res.GetResponder(), res.GetNews(), res.GetVersions())
+	h.take(address, res.GetResponder(), res.GetNews(), res.GetVersions(), req.GetWantAll())
 	return nil
 }
 
 // request builds a heartbeat; the documents' lock is never taken under h.mu.
-func (h *heartbeater) request() *messenger.HeartbeatRequest {
+func (h *heartbeater) request(whole bool) *messenger.HeartbeatRequest {
 	versions := fromVersions(h.docs.Versions())
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -191,15 +196,26 @@
 		Sender:   fromMember(h.table.Self()),
 		News:     fromMembers(h.table.News()),
 		Versions: versions,
-		WantAll:  !h.whole,
+		WantAll:  whole || !h.whole,
 	}
 }
 
 // take applies news and fetches documents that the peer holds in a newer version.
-func (h *heartbeater) take(address string, peer *messenger.Member, news []*messenger.Member, versions []*messenger.Version) {
+// That a member left is only believed from a whole table, so that who hears of it
+// also knows every member that the leaving one knew.
+func (h *heartbeater) take(address string, peer *messenger.Member, news []*messenger.Member, versions []*messenger.Version, whole bool) {
+	left := false
+	for _, m := range append(news, peer) {
+		member := toMember(m)
+		if member.State == chivegauge.Left && !whole {
+			left = left || h.isNews(member)
+			continue
+		}
+		h.Learn(member)
+	}
 	h.meet(toMember(peer))
-	for _, m := range news {
-		h.Learn(toMember(m))
+	if left {
+		h.start(func() { _ = h.exchangeWith(context.Background(), address, true) })
 	}
 	if h.docs.Lacks(toVersions(versions)) {
 		h.start(func() { h.fetch(address) })
@@ -270,9 +286,20 @@
 	}
 }
 
+// isNews reports whether what is said of a member would change the table.
+func (h *heartbeater) isNews(m chivegauge.Member) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, known := range h.table.Members() {
+		if known.Address == m.Address {
+			return m.Overrides(known)
+		}
+	}
+	return true
+}
+
 // meet takes in a heartbeat of the member itself.
 func (h *heartbeater) meet(m chivegauge.Member) {
-	h.Learn(m)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if m.Address != "" && h.met[m.Address].process != m.Process() && len(h.met) < meetingsMax {
@@ -325,7 +352,7 @@
 
 // Heartbeat answers the heartbeat of another node.
 func (h *heartbeater) Heartbeat(_ context.Context, r *messenger.HeartbeatRequest) (*messenger.HeartbeatResponse, error) {
-	h.take(r.GetSender().GetAddress(), r.GetSender(), r.GetNews(), r.GetVersions())
+	h.take(r.GetSender().GetAddress(), r.GetSender(), r.GetNews(), r.GetVersions(), false)
 	versions := fromVersions(h.docs.Versions())
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/policy/rememberer/rememberer.go
+++ b/internal/policy/rememberer/rememberer.go
@@ -173,8 +173,12 @@
 
 // Yield lets another node run a key that is unknown here.
 func (r *rememberer) Yield(now time.Time, key string) bool {
-	if rec := r.record(key); rec != nil {
-		return rec.Verdict != Moved
+	r.Sweep(now)
+	if rec := r.record(key); rec != nil && rec.Verdict != Moved {
+		return true
+	}
+	if r.record(key) != nil {
+		r.forget(key)
 	}
 	rec := &Record{
 		Key:     key,
--- a/internal/request/deduplicator/deduplicator.go
+++ b/internal/request/deduplicator/deduplicator.go
@@ -10,6 +10,7 @@
 	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/chivegauge/chivegauge/internal/policy/rememberer"
 	"github.com/chivegauge/chivegauge/internal/request/tracker"
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -19,6 +20,9 @@
 	forwardsMax = 2
 )
 
+// ErrForgetful is returned by a node that may have forgotten the key that it is asked for.
+var ErrForgetful = errors.New("an earlier process on this address may have known the key")
+
 // Members is the membership that owners are chosen from.
 type Members interface {
 	Self() chivegauge.Member
@@ -47,14 +51,16 @@
 	Dispatch(ctx context.Context, c chivegauge.Call) chivegauge.Answer
 	// Own answers a call whose key this node owns.
 	Own(ctx context.Context, c chivegauge.Call) chivegauge.Answer
-	// Yield lets another node run a key and reports whether it is known here.
-	Yield(key string) bool
+	// Yield lets another node run a key and reports whether it is known here, or returns ErrForgetful.
+	Yield(key string) (bool, error)
 	// Remembers takes over records of another node.
 	Remembers(records []rememberer.Record)
-	// Records returns the records to hand over, by the address of their next owner.
+	// Records returns the records to hand over, by the address of their next owner, "" for none.
 	Records() map[string][]rememberer.Record
 	// Forgetful says until when keys of an earlier process on this address may be unknown.
 	Forgetful(until time.Time)
+	// Remains returns for how long the node must stay, because it may not know keys that it would hand over.
+	Remains() time.Duration
 	// Sweep forgets old keys.
 	Sweep(now time.Time)
 }
@@ -95,6 +101,13 @@
 	d.forgetful = until
 }
 
+// Remains returns for how long the node may not know keys that it would hand over.
+func (d *deduplicator) Remains() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(0, d.forgetful.Sub(d.now()))
+}
+
 // Key returns the name under which a call is remembered.
 func Key(c chivegauge.Call) string {
 	return c.Service + "|" + c.Workspace + "|" + c.Route + "|" + c.IdempotencyKey
@@ -266,11 +279,16 @@
 	return answer
 }
 
-// Yield lets another node run a key.
-func (d *deduplicator) Yield(key string) bool {
+// Yield lets another node run a key, unless an earlier process here may have run it.
+func (d *deduplicator) Yield(key string) (bool, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.keys.Yield(d.now(), key)
+	now := d.now()
+	known := d.keys.Yield(now, key)
+	if !known && now.Before(d.forgetful) {
+		return false, ErrForgetful
+	}
+	return known, nil
 }
 
 // Remembers takes over records of another node.
@@ -291,9 +309,11 @@
 	byOwner := map[string][]rememberer.Record{}
 	for _, rec := range d.keys.Records() {
 		ranking := rememberer.Ranking(d.members.Service(self.Service), rec.Key, others)
+		owner := ""
 		if len(ranking) > 0 {
-			byOwner[ranking[0].Address] = append(byOwner[ranking[0].Address], rec)
+			owner = ranking[0].Address
 		}
+		byOwner[owner] = append(byOwner[owner], rec)
 	}
 	return byOwner
 }
--- /dev/null
+++ b/internal/request/deduplicator/model_test.go
@@ -0,0 +1,290 @@
+package deduplicator_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
+	"github.com/chivegauge/chivegauge/internal/policy/rememberer"
+	"github.com/chivegauge/chivegauge/internal/proof/seeder"
+	"github.com/chivegauge/chivegauge/internal/request/deduplicator"
+	"github.com/go-faster/errors"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(seeder.Run(m))
+}
+
+const (
+	nodeCount = 4
+	keyCount  = 3
+	service   = "booking"
+)
+
+// node is one process of the model with its own view of the others.
+type node struct {
+	model   *model
+	address string
+	process uint64
+	up      bool
+	dedup   deduplicator.Deduplicator
+	view    map[string]chivegauge.Member
+	met     map[string]time.Time
+}
+
+// model is a fleet whose nodes crash, restart, stop as planned and lose sight of each other.
+type model struct {
+	t     *rapid.T
+	now   time.Time
+	nodes []*node
+	cuts  map[string]bool
+	ran   map[string]time.Time
+	fail  chivegauge.Run
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t:    t,
+		now:  time.Unix(100000, 0),
+		cuts: map[string]bool{},
+		ran:  map[string]time.Time{},
+	}
+	for n := range nodeCount {
+		m.nodes = append(m.nodes, &node{
+			model:   m,
+			address: fmt.Sprintf("node%d", n),
+		})
+	}
+	for _, n := range m.nodes[:nodeCount-1] {
+		n.start(false)
+	}
+	for _, a := range m.nodes {
+		for _, b := range m.nodes {
+			m.meet(a, b)
+		}
+	}
+	return m
+}
+
+func (m *model) clock() time.Time { return m.now }
+
+func (n *node) start(crashed bool) {
+	n.process++
+	n.up = true
+	n.view = map[string]chivegauge.Member{}
+	n.met = map[string]time.Time{}
+	n.dedup = deduplicator.New(n.model.clock, n, n, n, n, func(string) bool { return false })
+	if crashed {
+		n.dedup.Forgetful(n.model.now.Add(rememberer.Retention))
+	}
+	n.view[n.address] = n.Self()
+	// The announcements in the store name every node that did not leave.
+	for _, other := range n.model.nodes {
+		if other.process > 0 && other.address != n.address && other.announced() {
+			n.view[other.address] = other.Self()
+		}
+	}
+}
+
+// announced reports whether the node's announcement stands in the store: it is up, or it crashed.
+func (n *node) announced() bool {
+	return n.up || n.dedup != nil
+}
+
+func (n *node) Self() chivegauge.Member {
+	return chivegauge.Member{
+		Address:     n.address,
+		Service:     service,
+		Incarnation: chivegauge.FirstIncarnation(int64(n.process)),
+	}
+}
+
+func (n *node) Service(string) []chivegauge.Member {
+	list := make([]chivegauge.Member, 0, len(n.view))
+	for _, m := range n.view {
+		list = append(list, m)
+	}
+	return list
+}
+
+func (n *node) Met(m chivegauge.Member) (time.Time, bool) {
+	at, ok := n.met[fmt.Sprint(m.Address, m.Process())]
+	return at, ok
+}
+
+// Dispatch stands for the run of the request at a backend server.
+func (n *node) Dispatch(_ context.Context, c chivegauge.Call) chivegauge.Answer {
+	m := n.model
+	if m.fail == chivegauge.NotRun {
+		return chivegauge.RefusalAnswer(c.AttemptID, chivegauge.Refuse(chivegauge.CodeBusy, "busy"), 0)
+	}
+	key := c.IdempotencyKey
+	if at, ok := m.ran[key]; ok && m.now.Sub(at) < rememberer.Retention {
+		m.t.Fatalf("key %s ran twice, the second time at %s", key, n.address)
+	}
+	m.ran[key] = m.now
+	if m.fail == chivegauge.MayHaveRun {
+		return chivegauge.RefusalAnswer(c.AttemptID, chivegauge.Unknown(chivegauge.CodeOutcomeUnknown, "lost"), 0)
+	}
+	return chivegauge.Answer{
+		Status: 200,
+		Body:   []byte(key),
+	}
+}
+
+func (n *node) Hop(ctx context.Context, to chivegauge.Member, c chivegauge.Call) (chivegauge.Answer, picker.Load) {
+	target := n.model.reach(n, to)
+	if target == nil {
+		return chivegauge.RefusalAnswer(c.AttemptID, chivegauge.Refuse(chivegauge.CodeUnreachable, "cut"), 0), picker.Load{}
+	}
+	return target.dedup.Own(ctx, c), picker.Load{}
+}
+
+func (n *node) Recall(_ context.Context, to chivegauge.Member, key string) (bool, error) {
+	target := n.model.reach(n, to)
+	if target == nil {
+		return false, errors.New("cut")
+	}
+	return target.dedup.Yield(key)
+}
+
+func (m *model) reach(from *node, to chivegauge.Member) *node {
+	for _, n := range m.nodes {
+		if n.address == to.Address && n.up && !m.cut(from, n) {
+			return n
+		}
+	}
+	return nil
+}
+
+func (m *model) cut(a, b *node) bool {
+	return m.cuts[a.address+b.address] || m.cuts[b.address+a.address]
+}
+
+// meet lets two nodes exchange heartbeats, or lose sight of each other.
+func (m *model) meet(a, b *node) {
+	if a == b || !a.up {
+		return
+	}
+	if !b.up || m.cut(a, b) {
+		if seen, ok := a.view[b.address]; ok && seen.State != chivegauge.Left {
+			a.view[b.address] = seen.WithState(chivegauge.Dead)
+		}
+		return
+	}
+	a.learn(b)
+	b.learn(a)
+	a.merge(b)
+	b.merge(a)
+}
+
+func (n *node) learn(other *node) {
+	n.view[other.address] = other.Self()
+	id := fmt.Sprint(other.address, other.Self().Process())
+	if _, ok := n.met[id]; !ok {
+		n.met[id] = n.model.now
+	}
+}
+
+// merge takes in what another node knows of members; that one left is only believed with its whole table.
+func (n *node) merge(other *node) {
+	for address, m := range other.view {
+		known, ok := n.view[address]
+		if address != n.address && (!ok || m.Overrides(known)) {
+			n.view[address] = m
+		}
+	}
+}
+
+// stop is a planned stop: keys are handed over, then each node that is reached learns of it.
+func (m *model) stop(n *node) {
+	for address, records := range n.dedup.Records() {
+		target := m.reach(n, chivegauge.Member{
+			Address: address,
+		})
+		if target == nil {
+			m.crash(n)
+			return
+		}
+		target.dedup.Remembers(records)
+	}
+	n.up = false
+	n.dedup = nil
+	for _, other := range m.nodes {
+		if other.up && !m.cut(n, other) {
+			other.merge(n)
+			other.view[n.address] = n.Self().WithState(chivegauge.Left)
+		}
+	}
+}
+
+func (m *model) crash(n *node) {
+	n.up = false
+}
+
+func (m *model) send(n *node, key string) {
+	a := n.dedup.Dispatch(context.Background(), chivegauge.Call{
+		Service:        service,
+		Workspace:      "golf",
+		Route:          "deposits",
+		IdempotencyKey: key,
+		Deadline:       m.now.Add(time.Minute),
+	})
+	if a.Refusal != nil && a.Refusal.Run == chivegauge.NotRun && a.Refusal.Code != chivegauge.CodeBusy {
+		m.t.Fatalf("key %s: refusal %v", key, a.Refusal)
+	}
+	if a.Refusal == nil && string(a.Body) != key {
+		m.t.Fatalf("key %s got the answer %q", key, a.Body)
+	}
+}
+
+// TestAtMostOneRunPerKey sends keys again and again through a fleet that fails in every way of the model.
+func TestAtMostOneRunPerKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		anyNode := rapid.IntRange(0, nodeCount-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"send": func(t *rapid.T) {
+				m.t = t
+				n := m.nodes[anyNode.Draw(t, "node")]
+				if !n.up {
+					t.Skip("down")
+				}
+				m.fail = rapid.SampledFrom([]chivegauge.Run{chivegauge.DidRun, chivegauge.DidRun, chivegauge.NotRun, chivegauge.MayHaveRun}).Draw(t, "outcome")
+				m.send(n, fmt.Sprintf("key%d", rapid.IntRange(0, keyCount-1).Draw(t, "key")))
+			},
+			"time": func(t *rapid.T) {
+				s := rapid.SampledFrom([]int{1, 10, 60, 119, 130}).Draw(t, "seconds")
+				m.now = m.now.Add(time.Duration(s) * time.Second)
+			},
+			"heartbeat": func(t *rapid.T) {
+				m.meet(m.nodes[anyNode.Draw(t, "a")], m.nodes[anyNode.Draw(t, "b")])
+			},
+			"cut or mend": func(t *rapid.T) {
+				a := m.nodes[anyNode.Draw(t, "a")].address
+				b := m.nodes[anyNode.Draw(t, "b")].address
+				m.cuts[a+b] = !m.cuts[a+b]
+			},
+			"crash": func(t *rapid.T) {
+				if n := m.nodes[anyNode.Draw(t, "node")]; n.up {
+					m.crash(n)
+				}
+			},
+			"planned stop": func(t *rapid.T) {
+				if n := m.nodes[anyNode.Draw(t, "node")]; n.up && n.dedup.Remains() == 0 {
+					m.stop(n)
+				}
+			},
+			"start": func(t *rapid.T) {
+				if n := m.nodes[anyNode.Draw(t, "node")]; !n.up {
+					n.start(n.dedup != nil)
+				}
+			},
+		})
+	})
+}
