Isolate requests that kill backend servers; break fleets of processes in tests

A request whose backend server died is a suspect: it runs alone, on one node of its service, and is refused once it died there too.

--- a/cmd/standin-backend/main.go
+++ b/cmd/standin-backend/main.go
@@ -21,6 +21,7 @@
 	ColdMs      int      `long:"cold-ms" default:"0" description:"length of the cold start in milliseconds"`
 	ColdFactor  float64  `long:"cold-factor" default:"3" description:"factor on the service time in the cold start"`
 	CrashMarker string   `long:"crash-marker" description:"a body that contains this ends the process"`
+	Journal     string   `long:"journal" description:"file to which the ID of each run is appended"`
 	Filler      int      `long:"filler" default:"0" description:"bytes added to each answer"`
 }
 
@@ -40,6 +41,7 @@
 		CrashMarker:  opts.CrashMarker,
 		EchoesToken:  true,
 		AnswerFiller: opts.Filler,
+		Journal:      opts.Journal,
 	}
 	srv := &http.Server{
 		Addr:              opts.Listen,
--- a/cmd/standin-store/main.go
+++ b/cmd/standin-store/main.go
@@ -13,6 +13,7 @@
 
 type options struct {
 	Listen string `long:"listen" default:"127.0.0.1:7900" description:"address to serve on"`
+	File   string `long:"file" description:"file that keeps the objects when the process ends"`
 }
 
 func main() {
@@ -22,7 +23,7 @@
 	}
 	srv := &http.Server{
 		Addr:              opts.Listen,
-		Handler:           storekeeper.New(),
+		Handler:           storekeeper.New(opts.File),
 		ReadHeaderTimeout: 5 * time.Second,
 	}
 	if err := srv.ListenAndServe(); err != nil {
--- a/header.go
+++ b/header.go
@@ -22,6 +22,7 @@
 	HeaderCode        = HeaderPrefix + "Code"
 	HeaderRun         = HeaderPrefix + "Run"
 	HeaderContext     = HeaderPrefix + "Context"
+	HeaderElsewhere   = HeaderPrefix + "Elsewhere"
 	HeaderRunning     = HeaderPrefix + "Running"
 	HeaderForwards    = HeaderPrefix + "Forwards"
 	HeaderRetryAfter  = "Retry-After"
--- a/internal/app/supervisor/control.go
+++ b/internal/app/supervisor/control.go
@@ -10,6 +10,7 @@
 	"github.com/chivegauge/chivegauge/internal/policy/rememberer"
 	"github.com/chivegauge/chivegauge/internal/request/deduplicator"
 	"github.com/chivegauge/chivegauge/internal/request/executor"
+	"github.com/chivegauge/chivegauge/internal/request/isolator"
 	"github.com/chivegauge/chivegauge/internal/request/rater"
 	"github.com/chivegauge/chivegauge/internal/request/tracker"
 	"github.com/twitchtv/twirp"
@@ -21,6 +22,7 @@
 	executor executor.Executor
 	shares   rater.Shares
 	dedup    deduplicator.Deduplicator
+	isolator isolator.Isolator
 }
 
 // Draw gives rate tokens from the slots kept here.
@@ -60,7 +62,12 @@
 }
 
 // Blame takes in news of a request that ended with its backend server's death.
-func (c *control) Blame(context.Context, *messenger.BlameRequest) (*messenger.BlameResponse, error) {
+func (c *control) Blame(_ context.Context, r *messenger.BlameRequest) (*messenger.BlameResponse, error) {
+	c.isolator.Learn(isolator.News{
+		Fingerprint: r.GetFingerprint(),
+		Died:        r.GetDied(),
+		Trial:       r.GetTrial(),
+	})
 	return &messenger.BlameResponse{}, nil
 }
 
@@ -77,3 +84,17 @@
 		AttemptID: attemptID,
 	})
 }
+
+// teller sends peers the news of requests that backend servers died of.
+type teller struct {
+	dialer dialer.Dialer
+}
+
+// Blame tells the member; one that is not reached learns nothing.
+func (t *teller) Blame(ctx context.Context, m chivegauge.Member, n isolator.News) {
+	_, _ = t.dialer.Control(m.Address).Blame(ctx, &messenger.BlameRequest{
+		Fingerprint: n.Fingerprint,
+		Died:        n.Died,
+		Trial:       n.Trial,
+	})
+}
--- a/internal/app/supervisor/parts.go
+++ b/internal/app/supervisor/parts.go
@@ -27,6 +27,7 @@
 	"github.com/chivegauge/chivegauge/internal/request/executor"
 	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
 	"github.com/chivegauge/chivegauge/internal/request/hopper"
+	"github.com/chivegauge/chivegauge/internal/request/isolator"
 	"github.com/chivegauge/chivegauge/internal/request/rater"
 	"github.com/chivegauge/chivegauge/internal/request/tracker"
 	"github.com/chivegauge/chivegauge/internal/telemetry/meter"
@@ -54,6 +55,7 @@
 	hopper    hopper.Hopper
 	dispatch  dispatcher.Dispatcher
 	dedup     deduplicator.Deduplicator
+	isolator  isolator.Isolator
 	rates     rater.Rater
 	shares    rater.Shares
 	slotter   slotter.Slotter
@@ -89,13 +91,17 @@
 	}
 	p.dedup = deduplicator.New(timekeeper.Now, p.fleet, p.dispatch, p.hopper, asks, p.gone)
 	p.dedup.Forgetful(timekeeper.Now().Add(forever))
-	p.executor.Follow(p.dedup)
+	tells := &teller{
+		dialer: p.dialer,
+	}
+	p.isolator = isolator.New(timekeeper.Now, p.fleet, tells)
+	p.executor.Follow(p.dedup, p.isolator)
 	return p, nil
 }
 
 // share makes the rates of workspaces hold across the fleet, in the way that the settings say.
 func (p *parts) share(s loader.Settings, docs replicator.Replicator) {
-	p.shares = rater.NewShares(timekeeper.Now, s.Listeners.Peer.Address, p.dialer.Control)
+	p.shares = rater.NewShares(timekeeper.Now, s.Listeners.Peer.Reached(), p.dialer.Control)
 	p.slotter = slotter.New(p.store, p.fleet, p.shares, p.gone)
 	p.shares.Follow(p.slotter)
 	docs.Register(slotter.DocumentName, p.slotter.Accept)
@@ -137,7 +143,7 @@
 func newFleet(s loader.Settings, d dialer.Dialer, docs replicator.Replicator, log zerolog.Logger) heartbeater.Heartbeater {
 	now := timekeeper.Now()
 	self := chivegauge.Member{
-		Address:     s.Listeners.Peer.Address,
+		Address:     s.Listeners.Peer.Reached(),
 		Service:     s.Service,
 		Zone:        s.AvailabilityZone,
 		Region:      s.Region,
--- a/internal/app/supervisor/supervisor.go
+++ b/internal/app/supervisor/supervisor.go
@@ -100,7 +100,7 @@
 // configured takes note of whether the configuration lets this backend server serve.
 func (v *supervisor) configured(c chivegauge.Configuration) {
 	v.settled()
-	leave := c.Departed(v.settings.Listeners.Peer.Address)
+	leave := c.Departed(v.settings.Listeners.Peer.Reached())
 	select {
 	case <-v.moves:
 	default:
@@ -176,6 +176,7 @@
 		executor:    v.parts.executor,
 		shares:      v.parts.shares,
 		dedup:       v.parts.dedup,
+		isolator:    v.parts.isolator,
 	}
 	exchange := exchanger.New(timekeeper.Now, v.parts.executor, v.parts.fleet.Self, peers)
 	relay := relayer.New(timekeeper.Now, v.parts.executor, v.parts.config, v.parts.dedup)
--- a/internal/command/runner/node.go
+++ b/internal/command/runner/node.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	log := zerolog.New(c.env.err).Level(level).With().Timestamp().Str("Node", s.Listeners.Peer.Address).Logger()
+	log := zerolog.New(c.env.err).Level(level).With().Timestamp().Str("Node", s.Listeners.Peer.Reached()).Logger()
 	node, err := supervisor.New(s, log)
 	if err != nil {
 		return err
@@ -63,6 +63,6 @@
 		return err
 	}
 	_, err = fmt.Fprintf(c.env.out, "%s: settings of the node at %s (service %s, availability zone %s) are valid\n",
-		c.Settings, s.Listeners.Peer.Address, s.Service, s.AvailabilityZone)
+		c.Settings, s.Listeners.Peer.Reached(), s.Service, s.AvailabilityZone)
 	return err
 }
--- a/internal/listener/server/server.go
+++ b/internal/listener/server/server.go
@@ -19,7 +19,7 @@
 	idleTimeout    = 2 * time.Minute
 	readTimeout    = 30 * time.Second
 	headerMaxBytes = 64 << 10
-	stopTimeout    = 5 * time.Second
+	stopTimeout    = 300 * time.Millisecond
 )
 
 // Config is what a listener is made of.
--- a/internal/measure/launcher/fleet.go
+++ b/internal/measure/launcher/fleet.go
@@ -38,6 +38,8 @@
 	Nested    []string
 	Args      []string
 	Settings  string
+	Advertise string
+	Listen    string
 }
 
 // Site is one instance: a backend server with its node.
@@ -45,6 +47,7 @@
 	Spec     BackendSpec
 	Caller   string
 	Peer     string
+	Listen   string
 	Egress   string
 	Operator string
 	Address  string
@@ -56,9 +59,10 @@
 
 // Fleet is a store and a number of sites.
 type Fleet struct {
-	Sites    []*Site
-	StoreURL string
-	Store    *Process
+	Sites     []*Site
+	StoreURL  string
+	NodeStore string
+	Store     *Process
 
 	mu     sync.Mutex
 	dir    string
@@ -82,7 +86,7 @@
 	if f.log, err = os.Create(filepath.Join(dir, "log")); err != nil {
 		return nil, errors.Wrap(err, "make log")
 	}
-	address, err := freeAddress()
+	address, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -110,9 +114,9 @@
 	return f.log.Name()
 }
 
-// StartStore starts the store, empty.
+// StartStore starts the store with the objects that it held before.
 func (f *Fleet) StartStore() error {
-	p, err := startProcess(f.log, f.program("standin-store"), "--listen", strings.TrimPrefix(f.StoreURL, "http://"))
+	p, err := startProcess(f.log, f.program("standin-store"), "--listen", strings.TrimPrefix(f.StoreURL, "http://"), "--file", filepath.Join(f.dir, "objects"))
 	if err != nil {
 		return err
 	}
@@ -125,8 +129,8 @@
 	portNext = 21000 + os.Getpid()%300*100
 )
 
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress() (string, error) {
+// FreeAddress returns a loopback address on which nothing listens.
+func FreeAddress() (string, error) {
 	portMu.Lock()
 	defer portMu.Unlock()
 	for range 2000 {
@@ -146,13 +150,18 @@
 	s := &Site{
 		Spec: spec,
 	}
-	for _, a := range []*string{&s.Caller, &s.Peer, &s.Egress, &s.Operator, &s.Address} {
-		address, err := freeAddress()
+	for _, a := range []*string{&s.Caller, &s.Listen, &s.Egress, &s.Operator, &s.Address} {
+		address, err := FreeAddress()
 		if err != nil {
 			return nil, err
 		}
 		*a = address
 	}
+	s.Peer = s.Listen
+	if spec.Advertise != "" {
+		s.Peer = spec.Advertise
+		s.Listen = spec.Listen
+	}
 	s.settings = filepath.Join(f.dir, "node-"+strings.ReplaceAll(s.Peer, ":", "-")+".yaml")
 	if err := os.WriteFile(s.settings, []byte(f.settings(s)), fileMode); err != nil {
 		return nil, errors.Wrap(err, "write settings")
@@ -179,15 +188,29 @@
   URL: http://%s
 Listeners:
   Caller: {Address: %q}
-  Peer: {Address: %q}
+  Peer: {Address: %q%s}
   Egress: {Address: %q}
   Operator: {Address: %q, TokenHash: %q}
 Store:
   URL: %s
 %s
 %s
-`, s.Spec.Zone, s.Spec.Region, s.Spec.Service, s.Address, s.Caller, s.Peer, s.Egress, s.Operator,
-		hex.EncodeToString(hash[:]), f.StoreURL, f.policy, s.Spec.Settings)
+`, s.Spec.Zone, s.Spec.Region, s.Spec.Service, s.Address, s.Caller, s.Listen, advertised(s), s.Egress, s.Operator,
+		hex.EncodeToString(hash[:]), f.storeOf(), f.policy, s.Spec.Settings)
+}
+
+func advertised(s *Site) string {
+	if s.Peer == s.Listen {
+		return ""
+	}
+	return fmt.Sprintf(", Advertise: %q", s.Peer)
+}
+
+func (f *Fleet) storeOf() string {
+	if f.NodeStore != "" {
+		return f.NodeStore
+	}
+	return f.StoreURL
 }
 
 // StartBackend starts the backend server of a site.
--- a/internal/platform/loader/loader.go
+++ b/internal/platform/loader/loader.go
@@ -38,7 +38,7 @@
 func Check(s Settings) error {
 	faults := fieldFaults(s)
 	faults = append(faults, listenerFaults("Listeners.Caller", s.Listeners.Caller)...)
-	faults = append(faults, listenerFaults("Listeners.Peer", s.Listeners.Peer)...)
+	faults = append(faults, listenerFaults("Listeners.Peer", s.Listeners.Peer.Listener)...)
 	faults = append(faults, listenerFaults("Listeners.Operator", s.Listeners.Operator.Listener)...)
 	if !loopback(s.Listeners.Egress.Address) {
 		faults = append(faults, "Listeners.Egress.Address: is not on loopback")
--- a/internal/platform/loader/settings.go
+++ b/internal/platform/loader/settings.go
@@ -35,7 +35,7 @@
 // Listeners are the four faces of a node.
 type Listeners struct {
 	Caller   Listener         `yaml:"Caller"`
-	Peer     Listener         `yaml:"Peer"`
+	Peer     PeerListener     `yaml:"Peer"`
 	Egress   Listener         `yaml:"Egress"`
 	Operator OperatorListener `yaml:"Operator"`
 }
@@ -47,6 +47,20 @@
 	TLS       TLS    `yaml:"TLS"`
 }
 
+// PeerListener is the listener for other nodes; Advertise is the address under which they reach it, if it differs.
+type PeerListener struct {
+	Listener  `yaml:",inline"`
+	Advertise string `yaml:"Advertise" validate:"omitempty,hostname_port"`
+}
+
+// Reached returns the address under which other nodes reach the listener.
+func (l PeerListener) Reached() string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return l.Address
+}
+
 // TLS names the certificate files of a listener; CAFile is what peers are checked against.
 type TLS struct {
 	CertificateFile string `yaml:"CertificateFile"`
--- /dev/null
+++ b/internal/proof/breaker/operator_test.go
@@ -0,0 +1,112 @@
+package breaker_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/planner"
+	"github.com/chivegauge/chivegauge/internal/measure/launcher"
+)
+
+func withdraw(workspace, id string) planner.Intent {
+	return launcher.WithdrawKey(workspace, id)
+}
+
+// inForce waits until each node has at least the revision in force, and fails the test if that does not happen.
+func (x *fixture) inForce(revision uint64) {
+	x.t.Helper()
+	for range 200 {
+		lowest := revision
+		for _, s := range x.Sites {
+			r, err := x.Metric(s, "chivegauge_configuration_revision")
+			x.is.NoErr(err)
+			lowest = min(lowest, uint64(r))
+		}
+		if lowest >= revision {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	x.t.Errorf("revision %d is not in force everywhere", revision)
+}
+
+// send sends one request with a body to a site and returns the code of the answer.
+func (x *fixture) send(s *launcher.Site, path, body string) string {
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.Caller+path, strings.NewReader(body))
+	x.is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+launcher.Key("golf1"))
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = res.Body.Close() }()
+	if code := res.Header.Get(chivegauge.HeaderCode); code != "" {
+		return code + " " + res.Header.Get(chivegauge.HeaderRun)
+	}
+	return res.Status
+}
+
+// TestOperatorsRace confirms two plans on one base; one wins, the other is told what changed.
+func TestOperatorsRace(t *testing.T) {
+	x := start(t, layout{booking: 2})
+	first, err := x.Plan(x.Sites[0], launcher.GiveKey("golf", "golf2"))
+	x.is.NoErr(err)
+	second, err := x.Plan(x.Sites[1], launcher.SetWorkspace("golf", 10, 10))
+	x.is.NoErr(err)
+	revision, err := x.Confirm(x.Sites[0], first, "ada")
+	x.is.NoErr(err)
+	_, err = x.Confirm(x.Sites[1], second, "bea")
+	x.is.True(err != nil)
+	x.is.True(strings.Contains(err.Error(), "PlanStale"))
+	x.is.True(strings.Contains(err.Error(), "by ada: give key golf2"))
+	again, err := x.Confirm(x.Sites[1], first, "ada")
+	x.is.NoErr(err)
+	x.is.Equal(revision, again) // a plan confirmed again takes effect once
+}
+
+// TestStoreLosesAnswers confirms a plan whose write takes effect but whose answer is lost.
+func TestStoreLosesAnswers(t *testing.T) {
+	x := start(t, layout{booking: 2})
+	plan, err := x.Plan(x.Sites[0], launcher.GiveKey("golf", "golf2"))
+	x.is.NoErr(err)
+	x.is.NoErr(x.SetFault(map[string]any{"LoseAnswers": true}))
+	revision, err := x.Confirm(x.Sites[0], plan, "ada")
+	x.is.NoErr(err)
+	x.is.Equal(revision, plan.BaseRevision+1)
+	x.is.NoErr(x.SetFault(map[string]any{}))
+	x.inForce(revision)
+	again, err := x.Confirm(x.Sites[1], plan, "ada")
+	x.is.NoErr(err)
+	x.is.Equal(revision, again)
+}
+
+// TestBootWithoutStore starts a node again while the store is down; it learns all from its peers.
+func TestBootWithoutStore(t *testing.T) {
+	x := start(t, layout{booking: 3})
+	x.is.NoErr(x.SetFault(map[string]any{"Down": true}))
+	s := x.Sites[2]
+	s.Node.Kill()
+	time.Sleep(500 * time.Millisecond)
+	x.is.NoErr(x.StartNode(s))
+	x.is.NoErr(x.WaitReady(len(x.Sites)))
+	list := x.load(2*time.Second, time.Second, nil, x.stream("/lookups", 40, s))
+	x.allWhole(list)
+}
+
+// TestWithdrawnKey withdraws a key while requests run on open connections; no later request runs.
+func TestWithdrawnKey(t *testing.T) {
+	x := start(t, layout{booking: 2})
+	take := func() { x.is.NoErr(x.Apply(x.Sites[1], withdraw("golf", "golf1"))) }
+	list := x.load(5*time.Second, time.Second, []func(){take}, x.stream("/deposits", 60))
+	t.Logf("%v", tally(list))
+	for _, o := range list {
+		late := o.Intended > 4*time.Second
+		if late && (o.Code != string(chivegauge.CodeKeyUnknown) || o.Run != string(chivegauge.NotRun)) {
+			t.Errorf("request %s at %s: %s %s", o.ID, o.Intended, o.Code, o.Run)
+		}
+	}
+	x.honest("booking", list)
+}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -134,7 +134,7 @@
 	last := chivegauge.RefusalAnswer("", chivegauge.Refuse(chivegauge.CodeNoBackend, "no backend server serves "+c.Service), 0)
 	ran := false
 	for n := 0; ; n++ {
-		m, ok := d.pick(c.Service, tried)
+		m, ok := d.pick(c.Service, tried, last.Refusal)
 		if !ok {
 			break
 		}
@@ -194,17 +194,35 @@
 	d.budget.First(service)
 }
 
-func (d *dispatcher) pick(service string, tried []string) (chivegauge.Member, bool) {
+// pick returns the member that the last refusal names, or else the picker's choice;
+// members tried before are tried again when there is no other.
+func (d *dispatcher) pick(service string, tried []string, last *chivegauge.Refusal) (chivegauge.Member, bool) {
 	members := d.members.Service(service)
+	if last.Elsewhere != "" {
+		members = only(members, last.Elsewhere)
+		tried = nil
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m, ok := d.picker.Pick(d.now(), members, tried, rand.IntN)
+	if !ok && len(tried) > 0 {
+		m, ok = d.picker.Pick(d.now(), members, nil, rand.IntN)
+	}
 	if ok {
 		d.picker.Begin(m.Address)
 	}
 	return m, ok
 }
 
+func only(members []chivegauge.Member, address string) []chivegauge.Member {
+	for _, m := range members {
+		if m.Address == address {
+			return []chivegauge.Member{m}
+		}
+	}
+	return nil
+}
+
 func (d *dispatcher) attempt(ctx context.Context, m chivegauge.Member, c chivegauge.Call, account *lender.Account) chivegauge.Answer {
 	self := d.members.Self()
 	id := tracker.Attempt{
--- a/internal/request/dispatcher/rule.go
+++ b/internal/request/dispatcher/rule.go
@@ -17,6 +17,7 @@
 	chivegauge.CodeDraining:       true,
 	chivegauge.CodeNotReady:       true,
 	chivegauge.CodeBusy:           true,
+	chivegauge.CodeSuspect:        true,
 	chivegauge.CodeOutcomeUnknown: true,
 }
 
--- a/internal/request/executor/backend.go
+++ b/internal/request/executor/backend.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -23,7 +25,10 @@
 	client  *http.Client
 }
 
-const backendIdle = 90 * time.Second
+const (
+	backendIdle = 90 * time.Second
+	upTimeout   = 500 * time.Millisecond
+)
 
 // NewBackend returns a backend server at the URL, reached over at most connections connections.
 func NewBackend(url string, now gatekeeper.Clock, connections int, maxBody int64) Backend {
@@ -80,6 +85,19 @@
 	}, nil
 }
 
+// Up reports whether the backend server takes connections.
+func (b *backend) Up() bool {
+	u, err := url.Parse(b.url)
+	if err != nil {
+		return false
+	}
+	conn, err := net.DialTimeout("tcp", u.Host, upTimeout)
+	if err != nil {
+		return false
+	}
+	return conn.Close() == nil
+}
+
 // fill sets the headers that a backend server is given.
 func (b *backend) fill(req *http.Request, c chivegauge.Call, token string) {
 	req.ContentLength = int64(len(c.Body))
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -11,6 +11,7 @@
 	"github.com/chivegauge/chivegauge/internal/policy/lender"
 	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
+	"github.com/chivegauge/chivegauge/internal/request/isolator"
 	"github.com/chivegauge/chivegauge/internal/request/tracker"
 )
 
@@ -18,6 +19,8 @@
 type Backend interface {
 	// Send returns the whole answer, or a refusal that says whether the call may have run.
 	Send(ctx context.Context, c chivegauge.Call, token string) (chivegauge.Answer, *chivegauge.Refusal)
+	// Up reports whether the backend server takes connections.
+	Up() bool
 }
 
 // Owner answers calls that were sent to the owner of their idempotency key.
@@ -25,6 +28,12 @@
 	Own(ctx context.Context, c chivegauge.Call) chivegauge.Answer
 }
 
+// Isolator keeps requests apart that backend servers die of.
+type Isolator interface {
+	Enter(ctx context.Context, c chivegauge.Call) (isolator.Admission, *chivegauge.Refusal)
+	Leave(a isolator.Admission, e isolator.Ending)
+}
+
 // Executor runs calls on its backend server.
 type Executor interface {
 	// Execute runs the call, or joins it when its attempt is known, and returns the answer.
@@ -45,17 +54,18 @@
 	Sweep(now time.Time)
 	// Wait returns when each started run has ended.
 	Wait()
-	// Follow sets the owner of idempotency keys, before the first call.
-	Follow(o Owner)
+	// Follow sets the owner of idempotency keys and the isolator, before the first call.
+	Follow(o Owner, i Isolator)
 }
 
 type executor struct {
-	service string
-	now     gatekeeper.Clock
-	gate    gatekeeper.Gatekeeper
-	backend Backend
-	grace   time.Duration
-	owner   Owner
+	service  string
+	now      gatekeeper.Clock
+	gate     gatekeeper.Gatekeeper
+	backend  Backend
+	grace    time.Duration
+	owner    Owner
+	isolator Isolator
 
 	mu      sync.Mutex
 	group   sync.WaitGroup
@@ -154,17 +164,32 @@
 	if r.Call.Forwards > 0 {
 		return e.owner.Own(r.Context, r.Call)
 	}
-	pass, refusal := e.gate.Enter(r.Context, r.Call)
+	admission, refusal := e.isolator.Enter(r.Context, r.Call)
 	if refusal != nil {
 		return chivegauge.RefusalAnswer(r.Call.AttemptID, refusal, r.Call.Tokens)
 	}
+	answer, ending := e.send(r)
+	e.isolator.Leave(admission, ending)
+	answer.AttemptID = r.Call.AttemptID
+	return answer
+}
+
+// send runs the call on the backend server once it may, and reports how the run ended.
+func (e *executor) send(r *Run) (chivegauge.Answer, isolator.Ending) {
+	pass, refusal := e.gate.Enter(r.Context, r.Call)
+	if refusal != nil {
+		return chivegauge.RefusalAnswer(r.Call.AttemptID, refusal, r.Call.Tokens), isolator.Unrun
+	}
 	answer, refusal := e.backend.Send(r.Context, r.Call, r.token)
 	e.gate.Leave(pass, refusal != nil)
-	if refusal != nil {
-		return chivegauge.RefusalAnswer(r.Call.AttemptID, refusal, 0)
+	if refusal == nil {
+		return answer, isolator.Survived
 	}
-	answer.AttemptID = r.Call.AttemptID
-	return answer
+	ending := isolator.Unrun
+	if refusal.Code == chivegauge.CodeOutcomeUnknown && !e.backend.Up() {
+		ending = isolator.Died
+	}
+	return chivegauge.RefusalAnswer(r.Call.AttemptID, refusal, 0), ending
 }
 
 // finish keeps the answer and ends the authority of the context token.
@@ -290,7 +315,8 @@
 	e.group.Wait()
 }
 
-// Follow sets the owner of idempotency keys.
-func (e *executor) Follow(o Owner) {
+// Follow sets the owner of idempotency keys and the isolator.
+func (e *executor) Follow(o Owner, i Isolator) {
 	e.owner = o
+	e.isolator = i
 }
--- a/internal/request/hopper/hopper.go
+++ b/internal/request/hopper/hopper.go
@@ -121,6 +121,7 @@
 	case <-timer.C:
 	}
 	x := h.follow(callCtx, m, c, first)
+	h.pooled.CloseIdleConnections()
 	if x.err != nil {
 		return h.lost(ctx, m, c), picker.Load{}
 	}
--- a/internal/request/hopper/wire.go
+++ b/internal/request/hopper/wire.go
@@ -117,6 +117,7 @@
 		set(chivegauge.HeaderCode, string(a.Refusal.Code))
 		set(chivegauge.HeaderRun, string(a.Refusal.Run))
 		set(headerMessage, a.Refusal.Message)
+		set(chivegauge.HeaderElsewhere, a.Refusal.Elsewhere)
 	}
 	return nil
 }
@@ -143,9 +144,10 @@
 	}
 	if code := h.Get(chivegauge.HeaderCode); code != "" {
 		a.Refusal = &chivegauge.Refusal{
-			Code:    chivegauge.Code(code),
-			Run:     chivegauge.Run(h.Get(chivegauge.HeaderRun)),
-			Message: h.Get(headerMessage),
+			Code:      chivegauge.Code(code),
+			Run:       chivegauge.Run(h.Get(chivegauge.HeaderRun)),
+			Message:   h.Get(headerMessage),
+			Elsewhere: h.Get(chivegauge.HeaderElsewhere),
 		}
 	}
 	return a, nil
--- /dev/null
+++ b/internal/request/isolator/doc.go
@@ -0,0 +1,3 @@
+// Package isolator keeps a request that kills backend servers from killing
+// more than two of one service.
+package isolator
--- a/internal/standin/storekeeper/storekeeper.go
+++ b/internal/standin/storekeeper/storekeeper.go
@@ -41,14 +41,18 @@
 	changed chan struct{}
 	fault   Fault
 	counts  Counts
+	file    string
 }
 
-// New returns an empty store.
-func New() *Storekeeper {
-	return &Storekeeper{
+// New returns a store with the objects in the file; an empty name keeps none.
+func New(file string) *Storekeeper {
+	s := &Storekeeper{
 		objects: map[string]object{},
 		changed: make(chan struct{}),
+		file:    file,
 	}
+	s.load()
+	return s
 }
 
 // ServeHTTP implements http.Handler.
@@ -118,7 +122,9 @@
 	return s.fault
 }
 
+// wake ends the waits of watches after a change; s.mu is held.
 func (s *Storekeeper) wake() {
+	s.save()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -27,6 +27,7 @@
 	CrashMarker  string
 	EchoesToken  bool
 	AnswerFiller int
+	Journal      string
 }
 
 // Report is what the backend server counted since its start.
@@ -194,6 +195,7 @@
 		return
 	}
 	w.report.ByRequest[id]++
+	journal(w.cfg.Journal, id)
 	if w.report.ByRequest[id] > 1 {
 		w.report.Doubled++
 	}
@@ -220,3 +222,18 @@
 		return false
 	}
 }
+
+const journalMode = 0o600
+
+// journal appends the ID of a run to a file, which outlives the process.
+func journal(path, id string) {
+	if path == "" {
+		return
+	}
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, journalMode)
+	if err != nil {
+		return
+	}
+	_, _ = f.WriteString(id + "\n")
+	_ = f.Close()
+}
--- a/refusal.go
+++ b/refusal.go
@@ -24,6 +24,7 @@
 	CodeDraining        Code = "Draining"
 	CodeContextUnknown  Code = "ContextUnknown"
 	CodeQuarantined     Code = "Quarantined"
+	CodeSuspect         Code = "Suspect"
 	CodeUnreachable     Code = "Unreachable"
 	CodeNotReady        Code = "NotReady"
 	CodeOutcomeUnknown  Code = "OutcomeUnknown"
@@ -47,6 +48,9 @@
 	Run          Run
 	Message      string
 	RetryAfterMs int `json:",omitempty"`
+
+	// Elsewhere is the address of the node that would run the request, if another one would.
+	Elsewhere string `json:"-"`
 }
 
 // Error returns the code, the run and the message.
@@ -69,6 +73,12 @@
 	return &r
 }
 
+// WithElsewhere returns the refusal with the address of the node that would run the request.
+func (r Refusal) WithElsewhere(address string) *Refusal {
+	r.Elsewhere = address
+	return &r
+}
+
 // Unknown returns a refusal of a request that may have run.
 func Unknown(code Code, message string) *Refusal {
 	return &Refusal{
