Make the retention of idempotency keys a setting

Tried and reverted: marks of running keys at a second member, so that a restarted owner can tell which keys never ran.

--- a/internal/app/supervisor/keys.go
+++ b/internal/app/supervisor/keys.go
@@ -39,7 +39,7 @@
 func (p *parts) predecessor(ended bool) {
 	until := timekeeper.Now()
 	if ended {
-		until = until.Add(rememberer.Retention)
+		until = until.Add(p.retention)
 	}
 	p.dedup.Forgetful(until)
 }
--- a/internal/app/supervisor/parts.go
+++ b/internal/app/supervisor/parts.go
@@ -56,6 +56,7 @@
 	dispatch  dispatcher.Dispatcher
 	dedup     deduplicator.Deduplicator
 	isolator  isolator.Isolator
+	retention time.Duration
 	rates     rater.Rater
 	shares    rater.Shares
 	slotter   slotter.Slotter
@@ -74,6 +75,8 @@
 		dialer:   dialer.New(sec.peerClient),
 		config:   configurer.New(),
 		executor: newExecutor(s),
+
+		retention: loader.Millis(s.Limits.KeyRetainMs),
 	}
 	docs := replicator.New()
 	docs.Register(configurer.DocumentName, p.config.Accept)
@@ -89,7 +92,7 @@
 	asks := &recaller{
 		dialer: p.dialer,
 	}
-	p.dedup = deduplicator.New(timekeeper.Now, p.fleet, p.dispatch, p.hopper, asks, p.gone)
+	p.dedup = deduplicator.New(timekeeper.Now, p.fleet, p.dispatch, p.hopper, asks, p.gone, p.retention)
 	p.dedup.Forgetful(timekeeper.Now().Add(forever))
 	tells := &teller{
 		dialer: p.dialer,
--- a/internal/app/supervisor/stop.go
+++ b/internal/app/supervisor/stop.go
@@ -6,7 +6,6 @@
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/app/stager"
-	"github.com/chivegauge/chivegauge/internal/policy/rememberer"
 )
 
 const (
@@ -26,7 +25,7 @@
 	if err := v.parts.slotter.HandOver(ctx); err != nil {
 		v.log.Warn().Err(err).Msg("rate slots not handed over")
 	}
-	pause(ctx, min(v.parts.dedup.Remains(), rememberer.Retention))
+	pause(ctx, min(v.parts.dedup.Remains(), v.parts.retention))
 	if err := v.parts.handOverKeys(ctx); err != nil {
 		v.log.Warn().Err(err).Msg("idempotency keys not handed over; the stop counts as a crash")
 		return
--- a/internal/platform/loader/settings.go
+++ b/internal/platform/loader/settings.go
@@ -94,6 +94,7 @@
 	QueueMaxMs   int `yaml:"QueueMaxMs" validate:"min=1,max=60000"`
 	SlotsInitial int `yaml:"SlotsInitial" validate:"min=1,max=10000"`
 	SlotsMax     int `yaml:"SlotsMax" validate:"min=1,max=10000"`
+	KeyRetainMs  int `yaml:"KeyRetainMs" validate:"min=1000,max=3600000"`
 }
 
 // Retries bounds the extra attempts of a call tree and of a destination.
@@ -153,6 +154,7 @@
 			QueueMaxMs:   500,
 			SlotsInitial: 20,
 			SlotsMax:     1000,
+			KeyRetainMs:  120000,
 		},
 		Retries: Retries{
 			Tokens:  6,
--- a/internal/policy/holder/holder.go
+++ b/internal/policy/holder/holder.go
@@ -15,7 +15,7 @@
 	stockBurstPart = 0.25
 	idleTime       = 200 * time.Millisecond
 	reportPart     = 0.25
-	dryMin         = 20 * time.Millisecond
+	dryTime        = 20 * time.Millisecond
 	missingTime    = 500 * time.Millisecond
 	whole          = 1.0
 	tiny           = 1e-9
@@ -271,7 +271,7 @@
 		l.ends = sent.Add(keeper.Lifetime)
 	}
 	if g.Granted < d.Want-tiny {
-		l.dry = now.Add(max(dryMin, g.RetryAfter))
+		l.dry = now.Add(max(dryTime, g.RetryAfter))
 	}
 }
 
--- a/internal/policy/rememberer/owner.go
+++ b/internal/policy/rememberer/owner.go
@@ -25,7 +25,7 @@
 
 // Elders returns the members, in the order of the ranking after self, that may have owned the
 // key before self was known to them: all up to the first that has known self for the retention.
-func Elders(now time.Time, ranking []chivegauge.Member, self string, met func(m chivegauge.Member) (time.Time, bool)) []chivegauge.Member {
+func Elders(now time.Time, retention time.Duration, ranking []chivegauge.Member, self string, met func(m chivegauge.Member) (time.Time, bool)) []chivegauge.Member {
 	var list []chivegauge.Member
 	after := false
 	for _, m := range ranking {
@@ -37,7 +37,7 @@
 			continue
 		}
 		at, ok := met(m)
-		if ok && now.Sub(at) >= Retention {
+		if ok && now.Sub(at) >= retention {
 			return list
 		}
 		list = append(list, m)
--- a/internal/policy/rememberer/rememberer.go
+++ b/internal/policy/rememberer/rememberer.go
@@ -8,9 +8,6 @@
 	"github.com/chivegauge/chivegauge/internal/telemetry/asserter"
 )
 
-// Retention is how long a key is remembered after its last use.
-const Retention = 2 * time.Minute
-
 // Verdict is what is known of a key.
 type Verdict int
 
@@ -62,20 +59,23 @@
 }
 
 type rememberer struct {
-	capacity int
-	maxBytes int
-	bytes    int
-	records  map[string]*list.Element
-	order    *list.List
+	retention time.Duration
+	capacity  int
+	maxBytes  int
+	bytes     int
+	records   map[string]*list.Element
+	order     *list.List
 }
 
-// New returns an empty table of at most capacity keys and maxBytes of answers.
-func New(capacity, maxBytes int) Rememberer {
+// New returns an empty table of at most capacity keys and maxBytes of answers,
+// each remembered for the retention after its last use.
+func New(retention time.Duration, capacity, maxBytes int) Rememberer {
 	return &rememberer{
-		capacity: capacity,
-		maxBytes: maxBytes,
-		records:  map[string]*list.Element{},
-		order:    list.New(),
+		retention: retention,
+		capacity:  capacity,
+		maxBytes:  maxBytes,
+		records:   map[string]*list.Element{},
+		order:     list.New(),
 	}
 }
 
@@ -224,7 +224,7 @@
 		next := el.Next()
 		rec := el.Value.(*Record)
 		if rec.Verdict != Running {
-			if now.Sub(rec.at) < Retention {
+			if now.Sub(rec.at) < r.retention {
 				return
 			}
 			r.forget(rec.Key)
--- a/internal/request/deduplicator/deduplicator.go
+++ b/internal/request/deduplicator/deduplicator.go
@@ -73,6 +73,8 @@
 	recaller Recaller
 	gone     func(address string) bool
 
+	retention time.Duration
+
 	mu        sync.Mutex
 	keys      rememberer.Rememberer
 	waiting   map[string]chan struct{}
@@ -80,17 +82,19 @@
 	sequence  uint64
 }
 
-// New returns a deduplicator in front of a dispatcher; gone reports whether an operator declared an address gone.
-func New(now func() time.Time, m Members, next Dispatcher, r Remote, x Recaller, gone func(address string) bool) Deduplicator {
+// New returns a deduplicator in front of a dispatcher; gone reports whether an operator
+// declared an address gone, retention is how long a key is remembered.
+func New(now func() time.Time, m Members, next Dispatcher, r Remote, x Recaller, gone func(address string) bool, retention time.Duration) Deduplicator {
 	return &deduplicator{
-		now:      now,
-		members:  m,
-		next:     next,
-		remote:   r,
-		recaller: x,
-		gone:     gone,
-		keys:     rememberer.New(keysMax, answerBytes),
-		waiting:  map[string]chan struct{}{},
+		retention: retention,
+		now:       now,
+		members:   m,
+		next:      next,
+		remote:    r,
+		recaller:  x,
+		gone:      gone,
+		keys:      rememberer.New(retention, keysMax, answerBytes),
+		waiting:   map[string]chan struct{}{},
 	}
 }
 
@@ -237,7 +241,7 @@
 func (d *deduplicator) askElders(ctx context.Context, c chivegauge.Call, key string, ranking []chivegauge.Member) (chivegauge.Answer, bool) {
 	askCtx, cancel := context.WithTimeout(ctx, recallTime)
 	defer cancel()
-	for _, m := range rememberer.Elders(d.now(), ranking, d.members.Self().Address, d.members.Met) {
+	for _, m := range rememberer.Elders(d.now(), d.retention, ranking, d.members.Self().Address, d.members.Met) {
 		if m.State == chivegauge.Dead {
 			return uncertain(c, "a node that may remember the idempotency key is away"), true
 		}
