--- a/internal/app/supervisor/control.go
+++ b/internal/app/supervisor/control.go
@@ -7,6 +7,7 @@
 	"github.com/chivegauge/chivegauge/internal/cluster/dialer"
 	"github.com/chivegauge/chivegauge/internal/cluster/heartbeater"
 	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
+	"github.com/chivegauge/chivegauge/internal/cluster/slotter"
 	"github.com/chivegauge/chivegauge/internal/policy/rememberer"
 	"github.com/chivegauge/chivegauge/internal/request/deduplicator"
 	"github.com/chivegauge/chivegauge/internal/request/executor"
@@ -21,6 +22,7 @@
 	heartbeater.Heartbeater
 	executor executor.Executor
 	shares   rater.Shares
+	slotter  slotter.Slotter
 	dedup    deduplicator.Deduplicator
 	isolator isolator.Isolator
 }
@@ -30,6 +32,15 @@
 	return c.shares.Draw(r), nil
 }
 
+// HandSlot takes over a rate slot with its loans.
+func (c *control) HandSlot(_ context.Context, r *messenger.HandSlotRequest) (*messenger.HandSlotResponse, error) {
+	if r.GetSlot() >= chivegauge.SlotCount {
+		return nil, twirp.InvalidArgumentError("Slot", "is not a slot")
+	}
+	c.slotter.Receive(toHandover(r))
+	return &messenger.HandSlotResponse{}, nil
+}
+
 // Cancel ends an attempt that its sender no longer waits for.
 func (c *control) Cancel(_ context.Context, r *messenger.CancelRequest) (*messenger.CancelResponse, error) {
 	attempt, err := tracker.ParseAttempt(r.GetAttemptID())
--- a/internal/app/supervisor/parts.go
+++ b/internal/app/supervisor/parts.go
@@ -22,6 +22,7 @@
 	"github.com/chivegauge/chivegauge/internal/policy/limiter"
 	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/chivegauge/chivegauge/internal/policy/scheduler"
+	"github.com/chivegauge/chivegauge/internal/proof/recorder"
 	"github.com/chivegauge/chivegauge/internal/request/deduplicator"
 	"github.com/chivegauge/chivegauge/internal/request/dispatcher"
 	"github.com/chivegauge/chivegauge/internal/request/executor"
@@ -29,7 +30,6 @@
 	"github.com/chivegauge/chivegauge/internal/request/hopper"
 	"github.com/chivegauge/chivegauge/internal/request/isolator"
 	"github.com/chivegauge/chivegauge/internal/request/rater"
-	"github.com/chivegauge/chivegauge/internal/request/tracker"
 	"github.com/chivegauge/chivegauge/internal/telemetry/meter"
 	"github.com/rs/zerolog"
 )
@@ -62,6 +62,7 @@
 	slotter   slotter.Slotter
 	slots     watcher.Watcher
 	meter     meter.Meter
+	recorder  recorder.Recorder
 }
 
 func newParts(s loader.Settings, sec security, log zerolog.Logger) (*parts, error) {
@@ -69,12 +70,17 @@
 	if err != nil {
 		return nil, err
 	}
+	rec, err := newRecorder(s)
+	if err != nil {
+		return nil, err
+	}
 	p := &parts{
+		recorder: rec,
 		meter:    m,
 		store:    storer.New(s.Store.URL, loader.Millis(s.Store.TimeoutMs), loader.Millis(s.Store.WatchMs)),
 		dialer:   dialer.New(sec.peerClient),
 		config:   configurer.New(),
-		executor: newExecutor(s),
+		executor: newExecutor(s, rec),
 
 		retention: loader.Millis(s.Limits.KeyRetainMs),
 	}
@@ -104,8 +110,11 @@
 
 // share makes the rates of workspaces hold across the fleet, in the way that the settings say.
 func (p *parts) share(s loader.Settings, docs replicator.Replicator) {
-	p.shares = rater.NewShares(timekeeper.Now, s.Listeners.Peer.Reached(), p.dialer.Control)
-	p.slotter = slotter.New(p.store, p.fleet, p.shares, p.gone)
+	p.shares = rater.NewShares(timekeeper.Now, s.Listeners.Peer.Reached(), p.dialer.Control, p.newKeeper())
+	hands := &slotTeller{
+		dialer: p.dialer,
+	}
+	p.slotter = slotter.New(p.store, p.fleet, p.shares, hands, p.gone)
 	p.shares.Follow(p.slotter)
 	docs.Register(slotter.DocumentName, p.slotter.Accept)
 	p.slots = watcher.New(p.store, p.fleet, slotter.DocumentName, loader.Millis(s.Store.RefreshMs))
@@ -160,7 +169,7 @@
 	return heartbeater.New(cfg, timekeeper.Now, table, d, docs, log)
 }
 
-func newExecutor(s loader.Settings) executor.Executor {
+func newExecutor(s loader.Settings, rec recorder.Recorder) executor.Executor {
 	b := s.BackendServer
 	opts := []gatekeeper.Option{
 		gatekeeper.WithMaxWait(loader.Millis(s.Limits.QueueMaxMs)),
@@ -170,8 +179,7 @@
 	}
 	gate := gatekeeper.New(timekeeper.Now, newLimiter(s), scheduler.New(s.Limits.QueueMax), opts...)
 	backend := executor.NewBackend(b.URL, timekeeper.Now, b.Connections, int64(s.Limits.BodyMaxBytes))
-	attempts := tracker.New(loader.Millis(b.AnswerRetainMs), b.TrackedAttempts, b.AnswerMaxBytes)
-	return executor.New(s.Service, timekeeper.Now, gate, backend, attempts, loader.Millis(b.CancelGraceMs))
+	return executor.New(s.Service, timekeeper.Now, gate, backend, newAttempts(b, rec), loader.Millis(b.CancelGraceMs))
 }
 
 func newLimiter(s loader.Settings) limiter.Limiter {
--- /dev/null
+++ b/internal/app/supervisor/slots.go
@@ -0,0 +1,70 @@
+package supervisor
+
+import (
+	"context"
+	"time"
+
+	"github.com/chivegauge/chivegauge/internal/cluster/dialer"
+	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
+	"github.com/chivegauge/chivegauge/internal/cluster/slotter"
+	"github.com/chivegauge/chivegauge/internal/policy/keeper"
+)
+
+// slotTeller hands rate slots to other nodes.
+type slotTeller struct {
+	dialer dialer.Dialer
+}
+
+// HandSlot sends the state of a slot to its next keeper.
+func (t *slotTeller) HandSlot(ctx context.Context, address string, h slotter.Handover) error {
+	req := &messenger.HandSlotRequest{
+		Slot:     uint32(h.Slot),
+		Revision: h.Revision,
+	}
+	for _, b := range h.Buckets {
+		req.Buckets = append(req.Buckets, fromBucket(b))
+	}
+	_, err := t.dialer.Control(address).HandSlot(ctx, req)
+	return err
+}
+
+func fromBucket(b keeper.BucketState) *messenger.Bucket {
+	out := &messenger.Bucket{
+		Workspace: b.Workspace,
+		Level:     b.Level,
+	}
+	for _, l := range b.Leases {
+		out.Leases = append(out.Leases, &messenger.Lease{
+			Lease:      l.Lease,
+			Granted:    l.Granted,
+			Consumed:   l.Consumed,
+			Returned:   l.Returned,
+			LeftMicros: l.Left.Microseconds(),
+		})
+	}
+	return out
+}
+
+func toHandover(r *messenger.HandSlotRequest) slotter.Handover {
+	h := slotter.Handover{
+		Slot:     int(r.GetSlot()),
+		Revision: r.GetRevision(),
+	}
+	for _, b := range r.GetBuckets() {
+		state := keeper.BucketState{
+			Workspace: b.GetWorkspace(),
+			Level:     b.GetLevel(),
+		}
+		for _, l := range b.GetLeases() {
+			state.Leases = append(state.Leases, keeper.LeaseState{
+				Lease:    l.GetLease(),
+				Granted:  l.GetGranted(),
+				Consumed: l.GetConsumed(),
+				Returned: l.GetReturned(),
+				Left:     time.Duration(l.GetLeftMicros())*time.Microsecond + time.Millisecond,
+			})
+		}
+		h.Buckets = append(h.Buckets, state)
+	}
+	return h
+}
--- a/internal/app/supervisor/supervisor.go
+++ b/internal/app/supervisor/supervisor.go
@@ -175,6 +175,7 @@
 		Heartbeater: v.parts.fleet,
 		executor:    v.parts.executor,
 		shares:      v.parts.shares,
+		slotter:     v.parts.slotter,
 		dedup:       v.parts.dedup,
 		isolator:    v.parts.isolator,
 	}
--- /dev/null
+++ b/internal/app/supervisor/trace.go
@@ -0,0 +1,38 @@
+package supervisor
+
+import (
+	"github.com/chivegauge/chivegauge/internal/platform/loader"
+	"github.com/chivegauge/chivegauge/internal/platform/timekeeper"
+	"github.com/chivegauge/chivegauge/internal/policy/keeper"
+	"github.com/chivegauge/chivegauge/internal/proof/recorder"
+	"github.com/chivegauge/chivegauge/internal/request/tracker"
+)
+
+// newRecorder returns the recorder that the settings ask for, nil for none, or an error.
+func newRecorder(s loader.Settings) (recorder.Recorder, error) {
+	if s.Trace.File == "" {
+		return nil, nil
+	}
+	return recorder.New(s.Trace.File, s.Trace.MaxBytes)
+}
+
+// newAttempts returns the table of attempts, recorded if there is a recorder.
+func newAttempts(b loader.BackendServer, rec recorder.Recorder) tracker.Tracker {
+	bounds := recorder.AttemptSettings{
+		Retain:   loader.Millis(b.AnswerRetainMs),
+		Capacity: b.TrackedAttempts,
+		MaxBytes: b.AnswerMaxBytes,
+	}
+	if rec == nil {
+		return tracker.New(bounds.Retain, bounds.Capacity, bounds.MaxBytes)
+	}
+	return recorder.Attempts(rec, timekeeper.Now(), bounds)
+}
+
+// newKeeper returns a keeper of rate slots, recorded if there is a recorder.
+func (p *parts) newKeeper() keeper.Keeper {
+	if p.recorder == nil {
+		return keeper.New()
+	}
+	return recorder.Rates(p.recorder, timekeeper.Now, keeper.New())
+}
--- /dev/null
+++ b/internal/cluster/gossiper/table_test.go
@@ -0,0 +1,99 @@
+package gossiper_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/gossiper"
+	"github.com/chivegauge/chivegauge/internal/proof/seeder"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(seeder.Run(m))
+}
+
+const timeout = 3 * time.Second
+
+func member(n int) chivegauge.Member {
+	return chivegauge.Member{
+		Address:     fmt.Sprintf("node%d", n),
+		Service:     "booking",
+		Incarnation: chivegauge.FirstIncarnation(1),
+	}
+}
+
+// TestTablesAgree lets nodes exchange news at random while some are suspected wrongly; once the news stops, all agree that all live.
+func TestTablesAgree(t *testing.T) {
+	const nodes = 6
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		tables := make([]gossiper.Table, nodes)
+		for n := range tables {
+			tables[n] = gossiper.NewTable(now, member(n), timeout)
+			for other := range nodes {
+				tables[n].Apply(now, member(other))
+			}
+		}
+		exchange := func(a, b int) {
+			for _, m := range append(tables[a].News(), tables[a].Self()) {
+				tables[b].Apply(now, m)
+			}
+			for _, m := range append(tables[b].News(), tables[b].Self()) {
+				tables[a].Apply(now, m)
+			}
+		}
+		node := rapid.IntRange(0, nodes-1)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			a := node.Draw(t, "a")
+			b := node.Draw(t, "b")
+			if a != b && rapid.IntRange(0, 2).Draw(t, "fault") == 0 {
+				tables[a].Suspect(now, member(b).Address)
+			}
+			tables[a].Expire(now)
+			if a != b {
+				exchange(a, b)
+			}
+		}
+		for range 20 {
+			for a := range nodes {
+				exchange(a, (a+1)%nodes)
+			}
+		}
+		for n, table := range tables {
+			for _, m := range table.Members() {
+				if m.State != chivegauge.Alive {
+					t.Fatalf("node %d holds %s for %s", n, m.Address, m.State)
+				}
+			}
+		}
+	})
+}
+
+// TestOverrides states which news replaces what is known.
+func TestOverrides(t *testing.T) {
+	alive := member(1)
+	cases := map[string]struct {
+		known chivegauge.Member
+		news  chivegauge.Member
+		taken bool
+	}{
+		"the same":                     {alive, alive, false},
+		"suspected":                    {alive, alive.WithState(chivegauge.Suspect), true},
+		"alive again, same life":       {alive.WithState(chivegauge.Dead), alive, false},
+		"alive again, higher":          {alive.WithState(chivegauge.Dead), alive.WithIncarnation(alive.Incarnation + 1), true},
+		"dead news of an earlier life": {alive.WithIncarnation(alive.Incarnation + 1), alive.WithState(chivegauge.Dead), false},
+		"left":                         {alive.WithState(chivegauge.Draining), alive.WithState(chivegauge.Left), true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.news.Overrides(c.known), c.taken)
+		})
+	}
+}
--- /dev/null
+++ b/internal/cluster/planner/planner_test.go
@@ -0,0 +1,232 @@
+package planner_test
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/planner"
+	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
+	"github.com/chivegauge/chivegauge/internal/platform/storer"
+	"github.com/chivegauge/chivegauge/internal/proof/seeder"
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(seeder.Run(m))
+}
+
+// fakeStore keeps one object; the next write may fail before or after its effect.
+type fakeStore struct {
+	storer.Store
+	object storer.Object
+	fault  string
+}
+
+func (s *fakeStore) Get(context.Context, string) (storer.Object, error) {
+	if s.object.Version == 0 {
+		return storer.Object{}, storer.ErrNotFound
+	}
+	return s.object, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, key string, value []byte, version uint64) (storer.Object, error) {
+	if s.fault == "before" {
+		return storer.Object{}, errors.New("no answer")
+	}
+	if version != s.object.Version {
+		return storer.Object{}, storer.ErrConflict
+	}
+	s.object = storer.Object{
+		Key:     key,
+		Version: version + 1,
+		Value:   value,
+	}
+	if s.fault == "after" {
+		return storer.Object{}, errors.New("no answer")
+	}
+	return s.object, nil
+}
+
+// fleet takes documents in as a node does.
+type fleet struct {
+	docs replicator.Replicator
+}
+
+func (f *fleet) Members() []chivegauge.Member { return nil }
+
+func (f *fleet) Offer(d replicator.Document) error {
+	_, err := f.docs.Offer(d)
+	return err
+}
+
+func workspaceIntent(rate float64) planner.Intent {
+	return planner.Intent{
+		SetWorkspace: &planner.WorkspaceIntent{
+			Name:          "golf",
+			RatePerSecond: rate,
+			Burst:         10,
+		},
+	}
+}
+
+// TestChangesTakeEffectOnce lets operators race with plans while the store loses writes and answers.
+func TestChangesTakeEffectOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &fakeStore{}
+		f := &fleet{
+			docs: replicator.New(),
+		}
+		revision := uint64(0)
+		f.docs.Register("configuration", func(d replicator.Document) error {
+			c, err := chivegauge.DecodeConfiguration(d.Value)
+			if err != nil {
+				return err
+			}
+			if c.Revision < revision {
+				t.Fatalf("revision went back from %d to %d", revision, c.Revision)
+			}
+			revision = c.Revision
+			return nil
+		})
+		p := planner.New(store, "configuration", f)
+		now := time.Unix(1000, 0)
+		var plans []planner.Plan
+		confirmed := map[string]uint64{}
+		t.Repeat(map[string]func(*rapid.T){
+			"plan": func(t *rapid.T) {
+				plan, err := p.Plan(context.Background(), []planner.Intent{workspaceIntent(float64(rapid.IntRange(1, 9).Draw(t, "rate")))})
+				if err != nil {
+					t.Fatal(err)
+				}
+				plans = append(plans, plan)
+			},
+			"confirm": func(t *rapid.T) {
+				if len(plans) == 0 {
+					t.Skip("no plan")
+				}
+				store.fault = rapid.SampledFrom([]string{"", "", "before", "after"}).Draw(t, "fault")
+				plan := rapid.SampledFrom(plans).Draw(t, "plan")
+				at, err := p.Confirm(context.Background(), now, plan, "ada")
+				if err != nil {
+					return
+				}
+				if before, ok := confirmed[plan.ChangeID]; ok && before != at {
+					t.Fatalf("a plan took effect at revision %d and at %d", before, at)
+				}
+				confirmed[plan.ChangeID] = at
+			},
+		})
+		c := chivegauge.Configuration{}
+		if store.object.Version > 0 {
+			var err error
+			if c, err = chivegauge.DecodeConfiguration(store.object.Value); err != nil {
+				t.Fatal(err)
+			}
+		}
+		seen := map[string]bool{}
+		for n, a := range c.Audit {
+			if seen[a.ChangeID] || a.Revision != uint64(n+1) {
+				t.Fatalf("audit entry %d: revision %d, change %s", n, a.Revision, a.ChangeID)
+			}
+			seen[a.ChangeID] = true
+		}
+	})
+}
+
+// TestIntents states what each intent is answered with.
+func TestIntents(t *testing.T) {
+	base := chivegauge.Configuration{
+		Workspaces: []chivegauge.Workspace{{
+			Name:          "golf",
+			RatePerSecond: 10,
+			Burst:         10,
+			Spread:        1,
+			Keys: []chivegauge.Key{{
+				ID:   "k1",
+				Hash: "00",
+			}},
+		}},
+	}
+	members := []chivegauge.Member{
+		{
+			Address: "a:1",
+			Service: "booking",
+		},
+		{
+			Address: "b:1",
+			Service: "booking",
+		},
+	}
+	cases := map[string]struct {
+		intent  planner.Intent
+		change  string
+		warning string
+		fault   bool
+	}{
+		"lower a rate": {
+			intent:  workspaceIntent(5),
+			change:  "set workspace golf: rate 5 a second, burst 10 (was 10 a second, burst 10)",
+			warning: "workspace golf may send 5 a second less; what is above is refused as not run",
+		},
+		"withdraw the last key": {
+			intent: planner.Intent{
+				WithdrawKey: &planner.KeyIntent{
+					Workspace: "golf",
+					ID:        "k1",
+				},
+			},
+			change:  "withdraw key k1 of workspace golf",
+			warning: "workspace golf has no key left",
+		},
+		"leave": {
+			intent: planner.Intent{
+				Leave: "a:1",
+			},
+			change: "mark the backend server at a:1 as Leaving",
+		},
+		"leave, unknown": {
+			intent: planner.Intent{
+				Leave: "c:1",
+			},
+			change:  "mark the backend server at c:1 as Leaving",
+			warning: "no member has the address c:1",
+		},
+		"key given twice": {
+			intent: planner.Intent{
+				GiveKey: &planner.KeyIntent{
+					Workspace: "golf",
+					ID:        "k1",
+				},
+			},
+			fault: true,
+		},
+		"nothing": {
+			fault: true,
+		},
+		"rate of zero": {
+			intent: workspaceIntent(0),
+			fault:  true,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			plan, err := planner.Make(base, []planner.Intent{c.intent}, planner.Measured{
+				Members: members,
+			}, "id")
+			is.Equal(err != nil, c.fault)
+			if c.fault {
+				return
+			}
+			is.Equal(plan.Changes, []string{c.change})
+			if c.warning != "" {
+				is.Equal(plan.Warnings, []string{c.warning})
+			}
+		})
+	}
+}
--- a/internal/cluster/slotter/slotter.go
+++ b/internal/cluster/slotter/slotter.go
@@ -10,6 +10,7 @@
 	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
 	"github.com/chivegauge/chivegauge/internal/platform/storer"
 	"github.com/chivegauge/chivegauge/internal/policy/allocator"
+	"github.com/chivegauge/chivegauge/internal/policy/keeper"
 	"github.com/go-faster/errors"
 )
 
@@ -22,6 +23,7 @@
 	settleTime = 500 * time.Millisecond
 
 	handOverTries = 5
+	handTime      = time.Second
 )
 
 // Fleet is the membership and where a written document is told.
@@ -36,6 +38,20 @@
 	Open(slot int, fresh bool)
 	Close(slot int)
 	Keeps(slot int) bool
+	Export(slot int) ([]keeper.BucketState, bool)
+	Import(slot int, states []keeper.BucketState)
+}
+
+// Teller sends the state of a slot to its next keeper.
+type Teller interface {
+	HandSlot(ctx context.Context, address string, h Handover) error
+}
+
+// Handover is the state of a slot for the keeper that is named in a revision of the document.
+type Handover struct {
+	Slot     int
+	Revision uint64
+	Buckets  []keeper.BucketState
 }
 
 // Slotter keeps the node's slots as the document says.
@@ -50,6 +66,8 @@
 	Holder(slot int) chivegauge.SlotHolder
 	// Serve changes the document when the allocation asks for it, until the context ends.
 	Serve(ctx context.Context) error
+	// Receive takes in the state of a slot that its earlier keeper hands over.
+	Receive(h Handover)
 	// HandOver gives all slots away, for a planned stop.
 	HandOver(ctx context.Context) error
 }
@@ -65,17 +83,21 @@
 	doc     chivegauge.Slots
 	version uint64
 	given   map[int]uint64
+	pending map[int]Handover
+	teller  Teller
 }
 
 // New returns a slotter; gone reports whether an operator declared an address gone.
-func New(s storer.Store, f Fleet, slots Slots, gone func(address string) bool) Slotter {
+func New(s storer.Store, f Fleet, slots Slots, t Teller, gone func(address string) bool) Slotter {
 	return &slotter{
-		store: s,
-		fleet: f,
-		slots: slots,
-		gone:  gone,
-		taken: func() {},
-		given: map[int]uint64{},
+		store:   s,
+		fleet:   f,
+		slots:   slots,
+		teller:  t,
+		gone:    gone,
+		taken:   func() {},
+		given:   map[int]uint64{},
+		pending: map[int]Handover{},
 	}
 }
 
@@ -131,6 +153,27 @@
 	if !s.slots.Keeps(n) {
 		s.slots.Open(n, h.Fresh && !reopened)
 	}
+	s.adopt(n)
+}
+
+// adopt opens a slot with the state that its earlier keeper handed over for just this change of keeper; s.mu is held.
+func (s *slotter) adopt(n int) {
+	p, ok := s.pending[n]
+	if !ok || s.doc.Slots[n].Since < p.Revision {
+		return
+	}
+	delete(s.pending, n)
+	if s.doc.Slots[n].Since == p.Revision && s.slots.Keeps(n) {
+		s.slots.Import(n, p.Buckets)
+	}
+}
+
+// Receive takes in the state of a slot.
+func (s *slotter) Receive(h Handover) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending[h.Slot] = h
+	s.adopt(h.Slot)
 }
 
 // Holder returns the keeper of a slot.
@@ -173,7 +216,7 @@
 			return err
 		}
 	}
-	s.release(c.Release, version)
+	states := s.release(c, version)
 	value, err := json.Marshal(c.Slots)
 	if err != nil {
 		return errors.Wrap(err, "encode slots")
@@ -183,6 +226,7 @@
 		_, readErr := s.read(ctx)
 		return errors.Join(err, readErr)
 	}
+	s.hand(ctx, c.Slots, states)
 	return s.fleet.Offer(replicator.Document{
 		Name:    DocumentName,
 		Version: o.Version,
@@ -190,6 +234,17 @@
 	})
 }
 
+// hand sends the states of slots to their next keepers; one that is lost only makes the slot open later.
+func (s *slotter) hand(ctx context.Context, doc chivegauge.Slots, states []Handover) {
+	ctx, cancel := context.WithTimeout(ctx, handTime)
+	defer cancel()
+	group := sync.WaitGroup{}
+	for _, h := range states {
+		group.Go(func() { _ = s.teller.HandSlot(ctx, doc.Slots[h.Slot].Address, h) })
+	}
+	group.Wait()
+}
+
 func (s *slotter) decide() allocator.Change {
 	return allocator.Decide(allocator.View{
 		Self:    s.fleet.Self(),
@@ -215,14 +270,22 @@
 	})
 }
 
-// release stops keeping slots before the write that gives them away.
-func (s *slotter) release(slots []int, version uint64) {
+// release stops keeping slots before the write that gives them away, and returns their states.
+func (s *slotter) release(c allocator.Change, version uint64) []Handover {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, n := range slots {
-		s.slots.Close(n)
+	var states []Handover
+	for _, n := range c.Release {
 		s.given[n] = version
+		if buckets, ok := s.slots.Export(n); ok {
+			states = append(states, Handover{
+				Slot:     n,
+				Revision: c.Slots.Revision,
+				Buckets:  buckets,
+			})
+		}
 	}
+	return states
 }
 
 // HandOver gives all slots away; what can't be given is lost until this address or an operator speaks again.
--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -72,6 +72,7 @@
 		{"confirm", "Apply a plan if its base still holds", &confirmCommand{remoteOptions: remote()}},
 		{"status", "Show what each member has in force", &statusCommand{remoteOptions: remote()}},
 		{"audit", "Show the audit trail of changes", &auditCommand{remoteOptions: remote()}},
+		{"replay", "Replay a trace of recorded decisions and check its outcomes", &replayCommand{env: env}},
 		{"version", "Print the version", &versionCommand{env: env}},
 	}
 	for _, c := range commands {
--- a/internal/measure/launcher/fleet.go
+++ b/internal/measure/launcher/fleet.go
@@ -28,7 +28,8 @@
 
 var programs = []string{"chivegauge", "standin-store", "standin-backend"}
 
-// BackendSpec is the behaviour of a backend server and what stands in its node's settings.
+// BackendSpec is the behaviour of a backend server and what stands in its node's
+// settings; a bare one is a node without a backend server.
 type BackendSpec struct {
 	Service   string
 	Zone      string
@@ -40,6 +41,7 @@
 	Settings  string
 	Advertise string
 	Listen    string
+	Bare      bool
 }
 
 // Site is one instance: a backend server with its node.
@@ -166,8 +168,10 @@
 	if err := os.WriteFile(s.settings, []byte(f.settings(s)), fileMode); err != nil {
 		return nil, errors.Wrap(err, "write settings")
 	}
-	if err := f.StartBackend(s); err != nil {
-		return nil, err
+	if !spec.Bare {
+		if err := f.StartBackend(s); err != nil {
+			return nil, err
+		}
 	}
 	if err := f.StartNode(s); err != nil {
 		return nil, err
@@ -287,7 +291,9 @@
 func (f *Fleet) Close(keep bool) {
 	for _, s := range f.Sites {
 		s.Node.Kill()
-		s.Backend.Kill()
+		if s.Backend != nil {
+			s.Backend.Kill()
+		}
 	}
 	f.Store.Kill()
 	_ = f.log.Close()
--- /dev/null
+++ b/internal/measure/sizer/sizer.go
@@ -0,0 +1,214 @@
+package sizer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chivegauge/chivegauge/internal/measure/launcher"
+	"github.com/chivegauge/chivegauge/internal/standin/storekeeper"
+	"github.com/go-faster/errors"
+)
+
+const (
+	zones       = 4
+	settleTime  = 8 * time.Second
+	windowTime  = 20 * time.Second
+	changeCount = 10
+	changeMax   = 30 * time.Second
+	changePoll  = 20 * time.Millisecond
+	mebibyte    = 1 << 20
+	settings    = "LogLevel: warn"
+)
+
+// Size is what was measured at one fleet size; the figures of a node are means.
+type Size struct {
+	Nodes                   int
+	ControlBytesPerSecond   float64
+	CorePercent             float64
+	MemoryMiB               float64
+	StoreCallsPerSecond     float64
+	BootReadsPerNode        float64
+	BootListsPerNode        float64
+	BootWritesPerNode       float64
+	ChangeSecondsMean       float64
+	ChangeSecondsMax        float64
+	ChangeBytesPerNode      float64
+	ChangeStoreCallsPerNode float64
+}
+
+// Measure starts a fleet of nodes without backend servers and measures it, or returns an error.
+func Measure(nodes int) (Size, error) {
+	f, err := launcher.New(settings)
+	if err != nil {
+		return Size{}, err
+	}
+	m := &measurement{
+		fleet: f,
+		size: Size{
+			Nodes: nodes,
+		},
+	}
+	if err := m.run(); err != nil {
+		f.Close(true)
+		return m.size, errors.Wrapf(err, "log in %s", f.LogFile())
+	}
+	f.Close(false)
+	return m.size, nil
+}
+
+type measurement struct {
+	fleet *launcher.Fleet
+	size  Size
+}
+
+func (m *measurement) run() error {
+	if err := m.boot(); err != nil {
+		return err
+	}
+	if err := m.idle(); err != nil {
+		return err
+	}
+	return m.changes()
+}
+
+func (m *measurement) boot() error {
+	for n := range m.size.Nodes {
+		if _, err := m.fleet.Add(launcher.BackendSpec{
+			Service: fmt.Sprintf("service%d", n%5),
+			Zone:    fmt.Sprintf("zone%d", n%zones),
+			Region:  "region",
+			Bare:    true,
+		}); err != nil {
+			return err
+		}
+	}
+	if err := m.fleet.Apply(m.fleet.Sites[0], launcher.SetWorkspace("golf", 100, 50), launcher.GiveKey("golf", "golf1")); err != nil {
+		return err
+	}
+	if err := m.fleet.WaitReady(m.size.Nodes); err != nil {
+		return err
+	}
+	c, err := m.counts()
+	if err != nil {
+		return err
+	}
+	nodes := float64(m.size.Nodes)
+	m.size.BootReadsPerNode = float64(c.Reads) / nodes
+	m.size.BootListsPerNode = float64(c.Lists) / nodes
+	m.size.BootWritesPerNode = float64(c.Writes) / nodes
+	time.Sleep(settleTime + time.Duration(m.size.Nodes)*100*time.Millisecond)
+	return nil
+}
+
+func (m *measurement) counts() (storekeeper.Counts, error) {
+	c := storekeeper.Counts{}
+	return c, m.fleet.GetJSON(m.fleet.StoreURL+"/counts", &c)
+}
+
+// total is the sums over all nodes and the store at one moment.
+type total struct {
+	bytes float64
+	cpu   time.Duration
+	mem   int
+	calls int
+}
+
+func (m *measurement) total() (total, error) {
+	t := total{}
+	for _, s := range m.fleet.Sites {
+		b, err := m.fleet.Metric(s, "chivegauge_control_bytes_bytes")
+		if err != nil {
+			return t, err
+		}
+		u, err := usageOf(s.Node.ID())
+		if err != nil {
+			return t, err
+		}
+		// Each byte is counted by the node that opened the connection, and is one of two nodes' traffic.
+		t.bytes += 2 * b
+		t.cpu += u.cpu
+		t.mem += u.memory
+	}
+	c, err := m.counts()
+	t.calls = c.Reads + c.Writes + c.Watches + c.Lists
+	return t, err
+}
+
+// idle measures a fleet in ordinary running, without requests.
+func (m *measurement) idle() error {
+	before, err := m.total()
+	if err != nil {
+		return err
+	}
+	time.Sleep(windowTime)
+	after, err := m.total()
+	if err != nil {
+		return err
+	}
+	nodes := float64(m.size.Nodes)
+	m.size.ControlBytesPerSecond = (after.bytes - before.bytes) / nodes / windowTime.Seconds()
+	m.size.CorePercent = 100 * (after.cpu - before.cpu).Seconds() / nodes / windowTime.Seconds()
+	m.size.MemoryMiB = float64(after.mem) / nodes / mebibyte
+	m.size.StoreCallsPerSecond = float64(after.calls-before.calls) / windowTime.Seconds()
+	return nil
+}
+
+// changes measures how long changes of the configuration take to be in force everywhere, and their cost.
+func (m *measurement) changes() error {
+	before, err := m.total()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	sum := time.Duration(0)
+	for n := range changeCount {
+		took, err := m.change(n)
+		if err != nil {
+			return err
+		}
+		sum += took
+		m.size.ChangeSecondsMax = max(m.size.ChangeSecondsMax, took.Seconds())
+	}
+	elapsed := time.Since(began).Seconds()
+	after, err := m.total()
+	if err != nil {
+		return err
+	}
+	nodes := float64(m.size.Nodes)
+	m.size.ChangeSecondsMean = sum.Seconds() / changeCount
+	idle := m.size.ControlBytesPerSecond * elapsed
+	m.size.ChangeBytesPerNode = ((after.bytes-before.bytes)/nodes - idle) / changeCount
+	m.size.ChangeStoreCallsPerNode = (float64(after.calls-before.calls) - m.size.StoreCallsPerSecond*elapsed) / nodes / changeCount
+	return nil
+}
+
+func (m *measurement) change(n int) (time.Duration, error) {
+	site := m.fleet.Sites[(n*7)%len(m.fleet.Sites)]
+	if err := m.fleet.Apply(site, launcher.SetWorkspace("golf", float64(100+n), 50)); err != nil {
+		return 0, err
+	}
+	began := time.Now()
+	target, err := m.fleet.Metric(site, "chivegauge_configuration_revision")
+	if err != nil {
+		return 0, err
+	}
+	behind := m.fleet.Sites
+	for time.Since(began) < changeMax {
+		var still []*launcher.Site
+		for _, s := range behind {
+			r, err := m.fleet.Metric(s, "chivegauge_configuration_revision")
+			if err != nil {
+				return 0, err
+			}
+			if r < target {
+				still = append(still, s)
+			}
+		}
+		if len(still) == 0 {
+			return time.Since(began), nil
+		}
+		behind = still
+		time.Sleep(changePoll)
+	}
+	return changeMax, nil
+}
--- a/internal/policy/allocator/allocator.go
+++ b/internal/policy/allocator/allocator.go
@@ -9,7 +9,7 @@
 
 const (
 	slack    = 1
-	levelMax = 4
+	levelMax = 16
 )
 
 // View is what a node knows when it decides.
--- a/internal/policy/keeper/keeper.go
+++ b/internal/policy/keeper/keeper.go
@@ -48,6 +48,10 @@
 	Open(now time.Time, slot int, fresh bool)
 	// Close stops keeping a slot at once.
 	Close(slot int)
+	// Export stops keeping a slot and returns its buckets, or false if it was not open.
+	Export(now time.Time, slot int) ([]BucketState, bool)
+	// Import opens a slot at once with the buckets of its earlier keeper.
+	Import(now time.Time, slot int, states []BucketState)
 	// Keeps reports whether the slot is kept here.
 	Keeps(slot int) bool
 	// Draw lends tokens at now.
--- a/internal/policy/keeper/shares_test.go
+++ b/internal/policy/keeper/shares_test.go
@@ -233,6 +233,17 @@
 				m.owner[slot] = to
 				m.keepers[to].Open(m.now, slot, false)
 			},
+			"hand a slot over with its state": func(t *rapid.T) {
+				slot := anySlot.Draw(t, "slot")
+				to := anyNode.Draw(t, "to")
+				states, open := m.keepers[m.owner[slot]].Export(m.now, slot)
+				m.owner[slot] = to
+				m.keepers[to].Open(m.now, slot, false)
+				m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{0, 10, 1000, 2000}).Draw(t, "ms")) * time.Millisecond)
+				if open {
+					m.keepers[to].Import(m.now, slot, states)
+				}
+			},
 			"sweep": func(t *rapid.T) {
 				m.keepers[anyNode.Draw(t, "node")].Sweep(m.now)
 			},
--- /dev/null
+++ b/internal/proof/recorder/doc.go
@@ -0,0 +1,3 @@
+// Package recorder records decisions and their inputs as JSON lines in a file
+// of bounded size.
+package recorder
--- /dev/null
+++ b/internal/proof/recorder/rates.go
@@ -0,0 +1,93 @@
+package recorder
+
+import (
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/policy/keeper"
+)
+
+// The calls of a keeper of rates.
+const (
+	CallConfigure = "Configure"
+	CallOpen      = "Open"
+	CallClose     = "Close"
+	CallDraw      = "Draw"
+	CallImport    = "Import"
+)
+
+// Import is a recorded takeover of a slot with its loans.
+type Import struct {
+	Slot    int
+	Buckets []keeper.BucketState
+}
+
+// Open is a recorded opening of a slot.
+type Open struct {
+	Slot  int
+	Fresh bool
+}
+
+type rates struct {
+	keeper.Keeper
+	recorder Recorder
+	now      func() time.Time
+}
+
+// Rates returns the keeper k with each decision recorded.
+func Rates(r Recorder, now func() time.Time, k keeper.Keeper) keeper.Keeper {
+	return &rates{
+		Keeper:   k,
+		recorder: r,
+		now:      now,
+	}
+}
+
+// Configure records the workspaces, without their keys.
+func (k *rates) Configure(now time.Time, workspaces []chivegauge.Workspace) {
+	k.Keeper.Configure(now, workspaces)
+	plain := make([]chivegauge.Workspace, 0, len(workspaces))
+	for _, w := range workspaces {
+		w.Keys = nil
+		plain = append(plain, w)
+	}
+	k.recorder.Record(now, PartRates, CallConfigure, plain, nil)
+}
+
+// Open records that a slot is kept.
+func (k *rates) Open(now time.Time, slot int, fresh bool) {
+	k.Keeper.Open(now, slot, fresh)
+	k.recorder.Record(now, PartRates, CallOpen, Open{
+		Slot:  slot,
+		Fresh: fresh,
+	}, nil)
+}
+
+// Close records that a slot is no longer kept.
+func (k *rates) Close(slot int) {
+	k.Keeper.Close(slot)
+	k.recorder.Record(k.now(), PartRates, CallClose, slot, nil)
+}
+
+// Draw records what a holder was lent.
+func (k *rates) Draw(now time.Time, d keeper.Draw, random keeper.Random) keeper.Grant {
+	g := k.Keeper.Draw(now, d, random)
+	k.recorder.Record(now, PartRates, CallDraw, d, g)
+	return g
+}
+
+// Export records that a slot is handed to another node.
+func (k *rates) Export(now time.Time, slot int) ([]keeper.BucketState, bool) {
+	states, ok := k.Keeper.Export(now, slot)
+	k.recorder.Record(now, PartRates, CallClose, slot, nil)
+	return states, ok
+}
+
+// Import records that a slot is taken over with its loans.
+func (k *rates) Import(now time.Time, slot int, states []keeper.BucketState) {
+	k.Keeper.Import(now, slot, states)
+	k.recorder.Record(now, PartRates, CallImport, Import{
+		Slot:    slot,
+		Buckets: states,
+	}, nil)
+}
--- a/internal/request/rater/shares.go
+++ b/internal/request/rater/shares.go
@@ -34,6 +34,9 @@
 	Open(slot int, fresh bool)
 	Close(slot int)
 	Keeps(slot int) bool
+	// Export and Import hand a slot over from one node to another.
+	Export(slot int) ([]keeper.BucketState, bool)
+	Import(slot int, states []keeper.BucketState)
 	// Draw answers the draws of another node.
 	Draw(r *messenger.DrawRequest) *messenger.DrawResponse
 	// Serve gives back idle tokens until the context ends.
@@ -57,13 +60,13 @@
 	slots chan struct{}
 }
 
-// NewShares returns shares of the node at the address self, which reaches others by control.
-func NewShares(now func() time.Time, self string, control func(address string) messenger.Control) Shares {
+// NewShares returns shares of the node at the address self, which reaches others by control and keeps slots in k.
+func NewShares(now func() time.Time, self string, control func(address string) messenger.Control, k keeper.Keeper) Shares {
 	s := &shares{
 		now:     now,
 		self:    self,
 		control: control,
-		keeper:  keeper.New(),
+		keeper:  k,
 		news:    map[string]chan struct{}{},
 		slots:   make(chan struct{}, drawsMax),
 	}
@@ -98,6 +101,20 @@
 	s.keeper.Close(slot)
 }
 
+// Export stops keeping a slot and returns its buckets.
+func (s *shares) Export(slot int) ([]keeper.BucketState, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keeper.Export(s.now(), slot)
+}
+
+// Import opens a slot with the buckets of its earlier keeper.
+func (s *shares) Import(slot int, states []keeper.BucketState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keeper.Import(s.now(), slot, states)
+}
+
 // Keeps reports whether a slot is kept here.
 func (s *shares) Keeps(slot int) bool {
 	s.mu.Lock()
--- a/slots.go
+++ b/slots.go
@@ -18,11 +18,12 @@
 	Slots    [SlotCount]SlotHolder
 }
 
-// SlotHolder is the process that keeps a slot; Fresh says that nobody kept it before.
+// SlotHolder is the process that keeps a slot since a revision; Fresh says that nobody kept it before.
 type SlotHolder struct {
 	Address string
 	Process uint64
 	Fresh   bool
+	Since   uint64
 }
 
 // Free reports whether nobody keeps the slot.
@@ -41,6 +42,7 @@
 		Address: m.Address,
 		Process: m.Process(),
 		Fresh:   s.Slots[slot].Free(),
+		Since:   s.Revision,
 	}
 	return s
 }
