Convict nobody for a backend server that was dead before; tell draining nodes of acquittals

And a trial over a kept connection to a backend server that was already dead convicted the request. Ruled out: a limit stuck low, a member stuck draining. Failed runs no longer move the concurrency limit.

--- a/internal/measure/launcher/fleet.go
+++ b/internal/measure/launcher/fleet.go
@@ -42,6 +42,7 @@
 	Settings  string
 	Advertise string
 	Listen    string
+	PeerTLS   string
 	Bare      bool
 }
 
@@ -200,15 +201,17 @@
   URL: %s
 %s
 %s
-`, s.Spec.Zone, s.Spec.Region, s.Spec.Service, s.Address, s.Caller, s.Listen, advertised(s), s.Egress, s.Operator,
+`, s.Spec.Zone, s.Spec.Region, s.Spec.Service, s.Address, s.Caller, s.Listen, peerExtras(s), s.Egress, s.Operator,
 		hex.EncodeToString(hash[:]), f.storeOf(), f.policy, s.Spec.Settings)
 }
 
-func advertised(s *Site) string {
-	if s.Peer == s.Listen {
-		return ""
+// peerExtras returns the settings of the peer listener beside its address.
+func peerExtras(s *Site) string {
+	extras := s.Spec.PeerTLS
+	if s.Peer != s.Listen {
+		extras += fmt.Sprintf(", Advertise: %q", s.Peer)
 	}
-	return fmt.Sprintf(", Advertise: %q", s.Peer)
+	return extras
 }
 
 func (f *Fleet) storeOf() string {
--- a/internal/measure/sizer/sizer.go
+++ b/internal/measure/sizer/sizer.go
@@ -116,7 +116,7 @@
 func (m *measurement) total() (total, error) {
 	t := total{}
 	for _, s := range m.fleet.Sites {
-		b, err := m.fleet.Metric(s, "chivegauge_control_bytes_bytes")
+		b, err := m.fleet.Metric(s, "chivegauge_control_bytes")
 		if err != nil {
 			return t, err
 		}
--- a/internal/policy/limiter/probe.go
+++ b/internal/policy/limiter/probe.go
@@ -62,6 +62,9 @@
 
 // Observe counts the run and ends the window once it holds enough runs.
 func (p *probe) Observe(now time.Time, s Sample) {
+	if s.Failed {
+		return
+	}
 	if p.since.IsZero() {
 		p.restart(now, s.Latency)
 	}
--- a/internal/proof/breaker/fixture_test.go
+++ b/internal/proof/breaker/fixture_test.go
@@ -50,6 +50,7 @@
 	nested   bool
 	backend  []string
 	policy   string
+	peerTLS  string
 }
 
 func start(t *testing.T, l layout) *fixture {
@@ -142,6 +143,7 @@
 		Region:    "sw",
 		Slots:     20,
 		ServiceMs: serviceMs,
+		PeerTLS:   l.peerTLS,
 		Args:      append([]string{"--journal", x.journal + "-" + service}, l.backend...),
 		Settings:  fmt.Sprintf("Trace: {File: %q, MaxBytes: %d}", filepath.Join(x.traces, x.traceName(service+strconv.Itoa(n))), traceBytes),
 	}
--- a/internal/proof/breaker/operator_test.go
+++ b/internal/proof/breaker/operator_test.go
@@ -10,6 +10,7 @@
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/cluster/planner"
 	"github.com/chivegauge/chivegauge/internal/measure/launcher"
+	"github.com/matryer/is"
 )
 
 func withdraw(workspace, id string) planner.Intent {
@@ -160,23 +161,24 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
 			req, err := http.NewRequest(http.MethodPost, "http://"+x.Sites[0].Caller+c.path, strings.NewReader(c.body))
-			x.is.NoErr(err)
+			is.NoErr(err)
 			for k, v := range c.header {
 				req.Header.Set(k, v)
 			}
 			res, err := http.DefaultClient.Do(req)
-			x.is.NoErr(err)
+			is.NoErr(err)
 			defer res.Body.Close()
 			body, err := io.ReadAll(res.Body)
-			x.is.NoErr(err)
-			x.is.Equal(res.StatusCode, c.status)
-			x.is.Equal(res.Header.Get(chivegauge.HeaderCode), string(c.code))
+			is.NoErr(err)
+			is.Equal(res.StatusCode, c.status)
+			is.Equal(res.Header.Get(chivegauge.HeaderCode), string(c.code))
 			if c.code != "" {
-				x.is.Equal(res.Header.Get(chivegauge.HeaderRun), string(chivegauge.NotRun))
+				is.Equal(res.Header.Get(chivegauge.HeaderRun), string(chivegauge.NotRun))
 				return
 			}
-			x.is.True(strings.Contains(string(body), "golf")) // the workspace is the key's, whatever the headers say
+			is.True(strings.Contains(string(body), "golf")) // the workspace is the key's, whatever the headers say
 		})
 	}
 }
--- a/internal/request/executor/backend.go
+++ b/internal/request/executor/backend.go
@@ -93,6 +93,7 @@
 	}
 	conn, err := net.DialTimeout("tcp", u.Host, upTimeout)
 	if err != nil {
+		b.client.CloseIdleConnections()
 		return false
 	}
 	return conn.Close() == nil
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -191,6 +191,12 @@
 	if refusal != nil {
 		return chivegauge.RefusalAnswer(r.Call.AttemptID, refusal, r.Call.Tokens)
 	}
+	if admission.Trial() && !e.backend.Up() {
+		e.tellDown()
+		e.isolator.Leave(admission, isolator.Unrun)
+		refusal := chivegauge.Refuse(chivegauge.CodeNoBackend, "the backend server is down")
+		return chivegauge.RefusalAnswer(r.Call.AttemptID, refusal, r.Call.Tokens)
+	}
 	answer, ending := e.send(r)
 	e.isolator.Leave(admission, ending)
 	answer.AttemptID = r.Call.AttemptID
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -52,6 +52,11 @@
 	trial       bool
 }
 
+// Trial reports whether the request is a suspect that runs alone.
+func (a Admission) Trial() bool {
+	return a.trial
+}
+
 // Isolator decides which requests may run beside others.
 type Isolator interface {
 	// Enter returns the permission to run the call, or a refusal of a call that did not run.
@@ -191,14 +196,14 @@
 	}
 }
 
-// tell sends news to each other node of the service and waits a bounded time.
+// tell sends news to each other node of the service, the draining ones included, and waits a bounded time.
 func (i *isolator) tell(n News) {
 	ctx, cancel := context.WithTimeout(context.Background(), tellTime)
 	defer cancel()
 	self := i.members.Self()
 	group := sync.WaitGroup{}
 	for _, m := range i.members.Service(self.Service) {
-		if m.Address != self.Address && m.Serving() {
+		if m.Address != self.Address && m.State <= chivegauge.Draining {
 			group.Go(func() { i.teller.Blame(ctx, m, n) })
 		}
 	}
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -114,3 +114,26 @@
 	is.Equal(refusal, nil)
 	is.Equal(again, trial)
 }
+
+// TestNewsReachesDraining states that a node which takes no work for now learns that a suspect was cleared.
+func TestNewsReachesDraining(t *testing.T) {
+	is := is.New(t)
+	s := newService(func() time.Time { return time.Unix(1000, 0) })
+	at, a, _ := s.admit("a", "innocent")
+	s.nodes[at].Leave(a, isolator.Died)
+	trial, _, _ := s.admit("b", "other")
+	for n, m := range s.members {
+		if m.Address != trial {
+			s.members[n] = m.WithState(chivegauge.Draining)
+		}
+	}
+	trial, a, refusal := s.admit(trial, "innocent")
+	is.Equal(refusal, nil)
+	s.nodes[trial].Leave(a, isolator.Survived)
+	for _, address := range []string{"a", "b", "c"} {
+		_, refusal := s.nodes[address].Enter(context.Background(), chivegauge.Call{
+			Body: []byte("innocent"),
+		})
+		is.Equal(refusal, nil)
+	}
+}
