--- /dev/null
+++ b/internal/cluster/heartbeater/answer.go
@@ -0,0 +1,47 @@
+package heartbeater
+
+import (
+	"context"
+
+	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
+	"github.com/chivegauge/chivegauge/internal/telemetry/asserter"
+)
+
+// Heartbeat answers the heartbeat of another node.
+func (h *heartbeater) Heartbeat(_ context.Context, r *messenger.HeartbeatRequest) (*messenger.HeartbeatResponse, error) {
+	h.take(r.GetSender().GetAddress(), r.GetSender(), r.GetNews(), r.GetVersions(), false)
+	versions := fromVersions(h.docs.Versions())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	news := h.table.News()
+	if r.GetWantAll() {
+		news = h.table.Members()
+	}
+	return &messenger.HeartbeatResponse{
+		Responder:  fromMember(h.table.Self()),
+		News:       fromMembers(news),
+		Versions:   versions,
+		Violations: asserter.Total(),
+	}, nil
+}
+
+// Probe reaches a third member for another node.
+func (h *heartbeater) Probe(ctx context.Context, r *messenger.ProbeRequest) (*messenger.ProbeResponse, error) {
+	reached := h.exchange(ctx, r.GetAddress()) == nil
+	return &messenger.ProbeResponse{
+		Reached: reached,
+	}, nil
+}
+
+// Fetch returns the documents that the other node lacks.
+func (h *heartbeater) Fetch(_ context.Context, r *messenger.FetchRequest) (*messenger.FetchResponse, error) {
+	res := &messenger.FetchResponse{}
+	for _, d := range h.docs.Newer(toVersions(r.GetVersions())) {
+		res.Documents = append(res.Documents, &messenger.Document{
+			Document: d.Name,
+			Version:  d.Version,
+			Value:    d.Value,
+		})
+	}
+	return res, nil
+}
