Show measured load in plans and status; drop kept connections only when one is silent

A plan for a departure names what the service may run and runs now; status shows both per member. Idle connections to peers were dropped whenever an answer took longer than the silence; now only when the first exchange has not ended 5 ms after the outcome is known. The floors of attempts are bounded to 50,000 senders. Settings that did nothing are gone (HealthPath, HealthPeriodMs).

--- a/internal/app/supervisor/parts.go
+++ b/internal/app/supervisor/parts.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"context"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -86,12 +87,12 @@
 	}
 	docs := replicator.New()
 	docs.Register(configurer.DocumentName, p.config.Accept)
-	p.fleet = newFleet(s, p.dialer, docs, log)
+	p.fleet = newFleet(s, p.dialer, docs, p.executor.Load, log)
 	refresh := loader.Millis(s.Store.RefreshMs)
 	p.announcer = announcer.New(p.store, p.fleet, refresh, p.predecessor)
 	p.watcher = watcher.New(p.store, p.fleet, configurer.DocumentName, refresh)
-	p.planner = planner.New(p.store, configurer.DocumentName, p.fleet, p.config.Configuration)
 	p.surveyor = surveyor.New(p.dialer)
+	p.planner = planner.New(p.store, configurer.DocumentName, p.fleet, p.survey, p.config.Configuration)
 	p.share(s, docs)
 	p.hopper = newHopper(s, sec, p.dialer)
 	p.dispatch = newDispatcher(s, p)
@@ -131,6 +132,11 @@
 	}
 }
 
+// survey asks each member what it has in force and how loaded it is.
+func (p *parts) survey(ctx context.Context) surveyor.Status {
+	return p.surveyor.Survey(ctx, configurer.DocumentName, p.fleet.Members())
+}
+
 // gone reports whether an operator declared the address gone.
 func (p *parts) gone(address string) bool {
 	for _, d := range p.config.Configuration().Departures {
@@ -152,7 +158,7 @@
 	return max(1, n)
 }
 
-func newFleet(s loader.Settings, d dialer.Dialer, docs replicator.Replicator, log zerolog.Logger) heartbeater.Heartbeater {
+func newFleet(s loader.Settings, d dialer.Dialer, docs replicator.Replicator, load heartbeater.Load, log zerolog.Logger) heartbeater.Heartbeater {
 	now := timekeeper.Now()
 	self := chivegauge.Member{
 		Address:     s.Listeners.Peer.Reached(),
@@ -166,7 +172,7 @@
 		Period:  loader.Millis(s.Membership.HeartbeatMs),
 		Timeout: loader.Millis(s.Membership.TimeoutMs),
 	}
-	return heartbeater.New(cfg, timekeeper.Now, table, d, docs, log)
+	return heartbeater.New(cfg, timekeeper.Now, table, d, docs, load, log)
 }
 
 func newExecutor(s loader.Settings, rec recorder.Recorder) executor.Executor {
--- a/internal/app/supervisor/supervisor.go
+++ b/internal/app/supervisor/supervisor.go
@@ -8,7 +8,6 @@
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/app/stager"
-	"github.com/chivegauge/chivegauge/internal/cluster/configurer"
 	"github.com/chivegauge/chivegauge/internal/cluster/surveyor"
 	"github.com/chivegauge/chivegauge/internal/listener/exchanger"
 	"github.com/chivegauge/chivegauge/internal/listener/operator"
@@ -232,7 +231,7 @@
 
 // Survey asks each member what it has in force.
 func (v *supervisor) Survey(ctx context.Context) surveyor.Status {
-	return v.parts.surveyor.Survey(ctx, configurer.DocumentName, v.parts.fleet.Members())
+	return v.parts.survey(ctx)
 }
 
 // Metrics serves the metrics.
--- a/internal/cluster/heartbeater/answer.go
+++ b/internal/cluster/heartbeater/answer.go
@@ -17,7 +17,10 @@
 	if r.GetWantAll() {
 		news = h.table.Members()
 	}
+	load := h.load()
 	return &messenger.HeartbeatResponse{
+		Running:    uint32(load.Running),
+		Limit:      uint32(load.Limit),
 		Responder:  fromMember(h.table.Self()),
 		News:       fromMembers(news),
 		Versions:   versions,
--- a/internal/cluster/heartbeater/heartbeater.go
+++ b/internal/cluster/heartbeater/heartbeater.go
@@ -10,6 +10,7 @@
 	"github.com/chivegauge/chivegauge/internal/cluster/gossiper"
 	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
 	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/rs/zerolog"
 )
 
@@ -67,6 +68,7 @@
 	now    func() time.Time
 	dialer dialer.Dialer
 	docs   replicator.Replicator
+	load   Load
 	log    zerolog.Logger
 
 	mu    sync.Mutex
@@ -78,13 +80,17 @@
 	slots chan struct{}
 }
 
-// New returns a heartbeater over a membership table and the replicated documents.
-func New(cfg Config, now func() time.Time, t gossiper.Table, d dialer.Dialer, docs replicator.Replicator, log zerolog.Logger) Heartbeater {
+// Load returns the load of the backend server beside the node.
+type Load func() picker.Load
+
+// New returns a heartbeater over a membership table, the replicated documents and the load to tell of.
+func New(cfg Config, now func() time.Time, t gossiper.Table, d dialer.Dialer, docs replicator.Replicator, load Load, log zerolog.Logger) Heartbeater {
 	return &heartbeater{
 		cfg:    cfg,
 		now:    now,
 		dialer: d,
 		docs:   docs,
+		load:   load,
 		log:    log,
 		table:  t,
 		met:    map[string]meeting{},
--- a/internal/cluster/planner/effect.go
+++ b/internal/cluster/planner/effect.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/surveyor"
 )
 
 // effects says what the change is expected to do, and what the operator should know first.
@@ -35,10 +36,22 @@
 	return expected, warnings
 }
 
+// capacity is what the backend servers of a service run and may run at once.
+type capacity struct {
+	servers int
+	running int
+	limit   int
+}
+
+func (c capacity) with(m surveyor.MemberStatus) capacity {
+	c.servers++
+	c.running += m.Running
+	c.limit += m.Limit
+	return c
+}
+
 func departEffect(after chivegauge.Configuration, m Measured, instance string) (expected, warnings []string) {
 	service := ""
-	left := 0
-	total := 0
 	for _, member := range m.Members {
 		if member.Address == instance {
 			service = member.Service
@@ -47,22 +60,32 @@
 	if service == "" {
 		return nil, []string{"no member has the address " + instance}
 	}
+	all := capacity{}
+	left := capacity{}
 	for _, member := range m.Members {
-		if member.Service != service || !member.Serving() {
+		if member.Service != service || !serving(member) {
 			continue
 		}
-		total++
+		all = all.with(member)
 		if !after.Departed(member.Address) {
-			left++
+			left = left.with(member)
 		}
 	}
-	expected = append(expected, fmt.Sprintf("service %s keeps %d of %d backend servers", service, left, total))
-	if left == 0 {
+	expected = append(expected, fmt.Sprintf("service %s keeps %d of %d backend servers and may run %d of %d requests at once; %d run now",
+		service, left.servers, all.servers, left.limit, all.limit, all.running))
+	switch {
+	case left.servers == 0:
 		warnings = append(warnings, "service "+service+" would have no backend server: each of its requests would be refused as not run")
+	case all.running > left.limit:
+		warnings = append(warnings, "service "+service+" runs more now than would be left: the least important requests would be refused as not run")
 	}
 	return expected, warnings
 }
 
+func serving(m surveyor.MemberStatus) bool {
+	return m.State == chivegauge.Alive.String() || m.State == chivegauge.Suspect.String()
+}
+
 func rateEffect(before chivegauge.Configuration, w WorkspaceIntent) (expected, warnings []string) {
 	have, ok := before.Workspace(w.Name)
 	if !ok {
@@ -80,7 +103,7 @@
 
 func serves(m Measured, service string) bool {
 	for _, member := range m.Members {
-		if member.Service == service && member.Serving() {
+		if member.Service == service && serving(member) {
 			return true
 		}
 	}
--- a/internal/cluster/planner/plan.go
+++ b/internal/cluster/planner/plan.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/surveyor"
 	"github.com/go-faster/errors"
 )
 
@@ -20,7 +21,7 @@
 
 // Measured is what the fleet's load says about the subject of an intent.
 type Measured struct {
-	Members []chivegauge.Member
+	Members []surveyor.MemberStatus
 }
 
 // StaleError is returned when the configuration changed since a plan was made.
--- a/internal/cluster/planner/planner.go
+++ b/internal/cluster/planner/planner.go
@@ -9,6 +9,7 @@
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
+	"github.com/chivegauge/chivegauge/internal/cluster/surveyor"
 	"github.com/chivegauge/chivegauge/internal/platform/storer"
 	"github.com/go-faster/errors"
 )
@@ -24,9 +25,8 @@
 // ErrStore is returned when the store can't be reached; nothing was changed.
 var ErrStore = errors.New("the store can't be reached")
 
-// Fleet is the membership and where a written configuration is told.
+// Fleet is where a written configuration is told.
 type Fleet interface {
-	Members() []chivegauge.Member
 	Offer(d replicator.Document) error
 }
 
@@ -38,6 +38,9 @@
 	Confirm(ctx context.Context, now time.Time, p Plan, operator string) (uint64, error)
 }
 
+// Survey returns the state and load of each member.
+type Survey func(ctx context.Context) surveyor.Status
+
 // InForce returns the configuration in force at this node.
 type InForce func() chivegauge.Configuration
 
@@ -45,6 +48,7 @@
 	store   storer.Store
 	name    string
 	fleet   Fleet
+	survey  Survey
 	inForce InForce
 }
 
@@ -57,11 +61,12 @@
 
 // New returns a planner of the document of the name in the store; a stored document that
 // can't be read is replaced on the base of the configuration in force.
-func New(s storer.Store, name string, f Fleet, c InForce) Planner {
+func New(s storer.Store, name string, f Fleet, m Survey, c InForce) Planner {
 	return &planner{
 		store:   s,
 		name:    name,
 		fleet:   f,
+		survey:  m,
 		inForce: c,
 	}
 }
@@ -75,7 +80,7 @@
 	id := make([]byte, 12)
 	_, _ = rand.Read(id)
 	measured := Measured{
-		Members: p.fleet.Members(),
+		Members: p.survey(ctx).Members,
 	}
 	plan, err := Make(st.config, intents, measured, hex.EncodeToString(id))
 	if err == nil && st.unreadable != nil {
--- a/internal/cluster/planner/planner_test.go
+++ b/internal/cluster/planner/planner_test.go
@@ -9,6 +9,7 @@
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/cluster/planner"
 	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
+	"github.com/chivegauge/chivegauge/internal/cluster/surveyor"
 	"github.com/chivegauge/chivegauge/internal/platform/storer"
 	"github.com/chivegauge/chivegauge/internal/proof/seeder"
 	"github.com/go-faster/errors"
@@ -57,7 +58,7 @@
 	docs replicator.Replicator
 }
 
-func (f *fleet) Members() []chivegauge.Member { return nil }
+func noMembers(context.Context) surveyor.Status { return surveyor.Status{} }
 
 func (f *fleet) Offer(d replicator.Document) error {
 	_, err := f.docs.Offer(d)
@@ -93,7 +94,7 @@
 			revision = c.Revision
 			return nil
 		})
-		p := planner.New(store, "configuration", f, func() chivegauge.Configuration { return chivegauge.Configuration{} })
+		p := planner.New(store, "configuration", f, noMembers, func() chivegauge.Configuration { return chivegauge.Configuration{} })
 		now := time.Unix(1000, 0)
 		var plans []planner.Plan
 		confirmed := map[string]uint64{}
@@ -152,14 +153,20 @@
 			}},
 		}},
 	}
-	members := []chivegauge.Member{
+	members := []surveyor.MemberStatus{
 		{
 			Address: "a:1",
 			Service: "booking",
+			State:   "Alive",
+			Running: 9,
+			Limit:   10,
 		},
 		{
 			Address: "b:1",
 			Service: "booking",
+			State:   "Alive",
+			Running: 5,
+			Limit:   10,
 		},
 	}
 	cases := map[string]struct {
@@ -187,7 +194,8 @@
 			intent: planner.Intent{
 				Leave: "a:1",
 			},
-			change: "mark the backend server at a:1 as Leaving",
+			change:  "mark the backend server at a:1 as Leaving",
+			warning: "service booking runs more now than would be left: the least important requests would be refused as not run",
 		},
 		"leave, unknown": {
 			intent: planner.Intent{
--- a/internal/cluster/surveyor/surveyor.go
+++ b/internal/cluster/surveyor/surveyor.go
@@ -25,6 +25,8 @@
 	Reached    bool
 	Version    uint64
 	Violations uint64
+	Running    int
+	Limit      int
 }
 
 // Status is what the fleet has in force.
@@ -92,6 +94,8 @@
 	}
 	ms.Reached = true
 	ms.Violations = res.GetViolations()
+	ms.Running = int(res.GetRunning())
+	ms.Limit = int(res.GetLimit())
 	for _, v := range res.GetVersions() {
 		if v.GetDocument() == document {
 			ms.Version = v.GetVersion()
--- a/internal/command/runner/plan.go
+++ b/internal/command/runner/plan.go
@@ -153,9 +153,9 @@
 		row(w, "Not reached", len(s.Unreached))
 		row(w, "Invariant violations", s.Violations)
 		row(w)
-		row(w, "NODE", "SERVICE", "ZONE", "STATE", "VERSION", "VIOLATIONS")
+		row(w, "NODE", "SERVICE", "ZONE", "STATE", "RUNNING", "LIMIT", "VERSION", "VIOLATIONS")
 		for _, m := range s.Members {
-			row(w, m.Address, m.Service, m.Zone, m.State, m.Version, m.Violations)
+			row(w, m.Address, m.Service, m.Zone, m.State, m.Running, m.Limit, m.Version, m.Violations)
 		}
 	})
 }
--- a/internal/platform/loader/settings.go
+++ b/internal/platform/loader/settings.go
@@ -24,8 +24,6 @@
 	URL             string `yaml:"URL" validate:"required,url"`
 	Connections     int    `yaml:"Connections" validate:"min=1,max=10000"`
 	ColdStartMs     int    `yaml:"ColdStartMs" validate:"min=0,max=600000"`
-	HealthPath      string `yaml:"HealthPath" validate:"omitempty,startswith=/"`
-	HealthPeriodMs  int    `yaml:"HealthPeriodMs" validate:"min=100,max=600000"`
 	CancelGraceMs   int    `yaml:"CancelGraceMs" validate:"min=0,max=60000"`
 	AnswerRetainMs  int    `yaml:"AnswerRetainMs" validate:"min=1000,max=3600000"`
 	AnswerMaxBytes  int    `yaml:"AnswerMaxBytes" validate:"min=1024"`
@@ -137,7 +135,6 @@
 	return Settings{
 		BackendServer: BackendServer{
 			Connections:     400,
-			HealthPeriodMs:  1000,
 			CancelGraceMs:   2000,
 			AnswerRetainMs:  30000,
 			AnswerMaxBytes:  16 << 20,
--- a/internal/request/hopper/hopper.go
+++ b/internal/request/hopper/hopper.go
@@ -25,6 +25,7 @@
 	awaitMax        = time.Second
 	awaitSlack      = 500 * time.Millisecond
 	awaitFailureMax = 2
+	silentSlack     = 5 * time.Millisecond
 )
 
 // Canceller tells a peer that an attempt is no longer waited for.
@@ -107,7 +108,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	first := make(chan exchange, 1)
-	h.group.Go(func() { first <- h.send(callCtx, m, c) })
+	ended := make(chan struct{})
+	h.group.Go(func() {
+		first <- h.send(callCtx, m, c)
+		close(ended)
+	})
 	timer := time.NewTimer(h.silence)
 	defer timer.Stop()
 	select {
@@ -121,7 +126,7 @@
 	case <-timer.C:
 	}
 	x := h.follow(callCtx, m, c, first)
-	h.pooled.CloseIdleConnections()
+	h.dropSilent(ended)
 	if x.err != nil {
 		return h.lost(ctx, m, c), picker.Load{}
 	}
@@ -174,6 +179,17 @@
 	}
 }
 
+// dropSilent closes the kept connections if the first exchange has not ended although the outcome is known.
+func (h *hopper) dropSilent(ended <-chan struct{}) {
+	timer := time.NewTimer(silentSlack)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+		h.pooled.CloseIdleConnections()
+	}
+}
+
 // either returns the first whole answer of the two exchanges, or what the asked one said.
 func (h *hopper) either(ctx context.Context, first, asked <-chan exchange) (exchange, bool) {
 	for {
--- a/internal/request/tracker/tracker.go
+++ b/internal/request/tracker/tracker.go
@@ -164,8 +164,22 @@
 // forget drops an ended attempt; the floor keeps it and older ones of its sender from running later.
 func (t *tracker) forget(el *list.Element) {
 	e := el.Value.(*entry)
-	t.floors[e.attempt.Sender] = max(t.floors[e.attempt.Sender], e.attempt.Sequence)
+	t.raise(e.attempt)
 	t.bytes -= len(e.answer.Body)
 	delete(t.entries, e.attempt)
 	t.order.Remove(el)
 }
+
+// raise keeps the attempt and older ones of its sender from running later. Each start of a node
+// is a sender of its own, so the bound holds the senders of several weeks.
+func (t *tracker) raise(a Attempt) {
+	if _, ok := t.floors[a.Sender]; !ok && len(t.floors) >= sendersMax {
+		for sender := range t.floors {
+			delete(t.floors, sender)
+			break
+		}
+	}
+	t.floors[a.Sender] = max(t.floors[a.Sender], a.Sequence)
+}
+
+const sendersMax = 50000
