Use one piece for what stood twice; drop what nothing calls

Found in reading the whole change: whether an operator declared an instance gone was a second loop over the departures beside Departed; the error of a stale plan was built in two places; hearing that one member left sorted the whole table to look one member up; Stock of keeper and holder had no caller. Behaviour is as before.

--- a/configuration.go
+++ b/configuration.go
@@ -73,12 +73,22 @@
 
 // Departed reports whether the instance was told to leave or is gone.
 func (c Configuration) Departed(instance string) bool {
+	return c.departure(instance) != ""
+}
+
+// Gone reports whether an operator declared the instance gone.
+func (c Configuration) Gone(instance string) bool {
+	return c.departure(instance) == Gone
+}
+
+// departure returns why the instance takes no new work, or nothing.
+func (c Configuration) departure(instance string) DepartureReason {
 	for _, d := range c.Departures {
 		if d.Instance == instance {
-			return true
+			return d.Reason
 		}
 	}
-	return false
+	return ""
 }
 
 // Validate returns an error that names each fault of the configuration, or nil.
--- a/internal/app/supervisor/parts.go
+++ b/internal/app/supervisor/parts.go
@@ -139,12 +139,7 @@
 
 // gone reports whether an operator declared the address gone.
 func (p *parts) gone(address string) bool {
-	for _, d := range p.config.Configuration().Departures {
-		if d.Instance == address && d.Reason == chivegauge.Gone {
-			return true
-		}
-	}
-	return false
+	return p.config.Configuration().Gone(address)
 }
 
 // alive returns the number of living members, at least 1.
--- a/internal/cluster/gossiper/table.go
+++ b/internal/cluster/gossiper/table.go
@@ -29,6 +29,8 @@
 	Expire(now time.Time)
 	// News returns the changes to send on, the least sent first.
 	News() []chivegauge.Member
+	// Member returns what is known of the member at the address, or false.
+	Member(address string) (chivegauge.Member, bool)
 	// Members returns all members known, the node's own included, by address.
 	Members() []chivegauge.Member
 	// Service returns the members of a service.
@@ -154,6 +156,15 @@
 	return news
 }
 
+// Member returns what is known of the member at the address.
+func (t *table) Member(address string) (chivegauge.Member, bool) {
+	r := t.records[address]
+	if r == nil {
+		return chivegauge.Member{}, false
+	}
+	return r.member, true
+}
+
 // Members returns all members by address.
 func (t *table) Members() []chivegauge.Member {
 	list := make([]chivegauge.Member, 0, len(t.records))
--- a/internal/cluster/heartbeater/heartbeater.go
+++ b/internal/cluster/heartbeater/heartbeater.go
@@ -151,12 +151,8 @@
 func (h *heartbeater) isNews(m chivegauge.Member) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, known := range h.table.Members() {
-		if known.Address == m.Address {
-			return m.Overrides(known)
-		}
-	}
-	return true
+	known, ok := h.table.Member(m.Address)
+	return !ok || m.Overrides(known)
 }
 
 // meet takes in a heartbeat of the member itself.
--- a/internal/cluster/planner/plan.go
+++ b/internal/cluster/planner/plan.go
@@ -76,11 +76,7 @@
 // Apply returns the configuration with the plan carried out and audited, or a StaleError.
 func Apply(now time.Time, c chivegauge.Configuration, p Plan, operator string) (chivegauge.Configuration, error) {
 	if c.Revision != p.BaseRevision {
-		return c, &StaleError{
-			Base:    p.BaseRevision,
-			Present: c.Revision,
-			Since:   since(c.Audit, p.BaseRevision),
-		}
+		return c, stale(c, p)
 	}
 	next, changes, err := applyAll(c, p.Intents)
 	if err != nil {
@@ -111,6 +107,15 @@
 	return 0, false
 }
 
+// stale returns the error that names what changed since the plan was made.
+func stale(c chivegauge.Configuration, p Plan) *StaleError {
+	return &StaleError{
+		Base:    p.BaseRevision,
+		Present: c.Revision,
+		Since:   since(c.Audit, p.BaseRevision),
+	}
+}
+
 func since(audit []chivegauge.AuditEntry, base uint64) []chivegauge.AuditEntry {
 	var list []chivegauge.AuditEntry
 	for _, a := range audit {
--- a/internal/cluster/planner/planner.go
+++ b/internal/cluster/planner/planner.go
@@ -141,11 +141,7 @@
 			return revision, nil
 		}
 		if c.Revision != plan.BaseRevision || errors.Is(cause, storer.ErrConflict) {
-			return 0, &StaleError{
-				Base:    plan.BaseRevision,
-				Present: c.Revision,
-				Since:   since(c.Audit, plan.BaseRevision),
-			}
+			return 0, stale(c, plan)
 		}
 		return 0, ErrOutcomeUnknown
 	}
--- a/internal/policy/holder/holder.go
+++ b/internal/policy/holder/holder.go
@@ -40,8 +40,6 @@
 	Dry(now time.Time, workspace string) time.Duration
 	// Idle returns the draws that give back tokens which are not needed.
 	Idle(now time.Time) []keeper.Draw
-	// Stock returns the tokens of the workspace that may be spent at now.
-	Stock(now time.Time, workspace string) float64
 }
 
 // loan is what one slot's keeper lent.
@@ -122,15 +120,6 @@
 	return sum
 }
 
-// Stock returns the tokens of the workspace that may be spent.
-func (h *holder) Stock(now time.Time, workspace string) float64 {
-	a := h.accounts[workspace]
-	if a == nil {
-		return 0
-	}
-	return a.stock(now)
-}
-
 // Take spends one token, put together from several loans if need be.
 func (h *holder) Take(now time.Time, workspace string) bool {
 	a := h.accounts[workspace]
--- a/internal/policy/keeper/keeper.go
+++ b/internal/policy/keeper/keeper.go
@@ -58,8 +58,6 @@
 	Draw(now time.Time, d Draw, random Random) Grant
 	// Sweep ends the loans whose time has passed.
 	Sweep(now time.Time)
-	// Stock returns the tokens in the slot's bucket of a workspace, lent ones included, at now.
-	Stock(now time.Time, workspace string, slot int) float64
 }
 
 type bucketKey struct {
@@ -313,17 +311,3 @@
 		k.fill(now, key, b)
 	}
 }
-
-// Stock returns the tokens of a workspace in the slot, lent ones included.
-func (k *keeper) Stock(now time.Time, workspace string, n int) float64 {
-	key := bucketKey{
-		workspace: workspace,
-		slot:      n,
-	}
-	b := k.buckets[key]
-	if b == nil {
-		return 0
-	}
-	k.fill(now, key, b)
-	return b.level + b.lent()
-}
