Let the suspicion of a request travel with its next attempt; name internal/base for what it holds

Cause of the red TestRequestThatKills (4 deaths of at most 2): after a death the other nodes were told within 300 ms at most and nobody repeated a lost notice, so that the next attempt could run as an innocent one at a node that had not heard of it. Shown without processes: with each notice lost, the killer ran at each node in turn. Ruled out: a wrong count in the test (it counts processes that ended), and a retry of a convicted request (its refusal is final). Left open: a backend server that is started again before its node looks whether it is up is not seen to have died.

--- a/call.go
+++ b/call.go
@@ -28,6 +28,10 @@
 	Tokens         int
 	Depth          int
 	Forwards       int
+
+	// Suspect says that a backend server died while it ran an earlier attempt of the call.
+	Suspect bool
+
 	Method         string
 	Target         string
 	Header         []HeaderField
@@ -56,6 +60,12 @@
 	return c
 }
 
+// WithSuspect returns the call as one whose earlier attempt ended with its backend server.
+func (c Call) WithSuspect() Call {
+	c.Suspect = true
+	return c
+}
+
 // Budget returns the time left at now, never below zero.
 func (c Call) Budget(now time.Time) time.Duration {
 	return max(0, c.Deadline.Sub(now))
--- a/internal/app/supervisor/keys.go
+++ b/internal/app/supervisor/keys.go
@@ -7,7 +7,7 @@
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/cluster/dialer"
 	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
-	"github.com/chivegauge/chivegauge/internal/platform/timekeeper"
+	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 	"github.com/chivegauge/chivegauge/internal/policy/rememberer"
 	"github.com/go-faster/errors"
 )
--- a/internal/app/supervisor/trace.go
+++ b/internal/app/supervisor/trace.go
@@ -1,8 +1,8 @@
 package supervisor
 
 import (
-	"github.com/chivegauge/chivegauge/internal/platform/loader"
-	"github.com/chivegauge/chivegauge/internal/platform/timekeeper"
+	"github.com/chivegauge/chivegauge/internal/base/loader"
+	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 	"github.com/chivegauge/chivegauge/internal/policy/keeper"
 	"github.com/chivegauge/chivegauge/internal/proof/recorder"
 	"github.com/chivegauge/chivegauge/internal/request/tracker"
--- a/internal/platform/certifier/certifier.go
+++ b/internal/base/certifier/certifier.go
@@ -5,7 +5,7 @@
 	"crypto/x509"
 	"os"
 
-	"github.com/chivegauge/chivegauge/internal/platform/loader"
+	"github.com/chivegauge/chivegauge/internal/base/loader"
 	"github.com/go-faster/errors"
 )
 
--- a/internal/platform/loader/loader_test.go
+++ b/internal/base/loader/loader_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"github.com/chivegauge/chivegauge/internal/platform/loader"
+	"github.com/chivegauge/chivegauge/internal/base/loader"
 	"github.com/matryer/is"
 )
 
--- a/internal/cluster/announcer/announcer.go
+++ b/internal/cluster/announcer/announcer.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/chivegauge/chivegauge"
-	"github.com/chivegauge/chivegauge/internal/platform/storer"
+	"github.com/chivegauge/chivegauge/internal/base/storer"
 	"github.com/go-faster/errors"
 )
 
--- a/internal/cluster/planner/planner.go
+++ b/internal/cluster/planner/planner.go
@@ -10,7 +10,7 @@
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
 	"github.com/chivegauge/chivegauge/internal/cluster/surveyor"
-	"github.com/chivegauge/chivegauge/internal/platform/storer"
+	"github.com/chivegauge/chivegauge/internal/base/storer"
 	"github.com/go-faster/errors"
 )
 
--- a/internal/cluster/watcher/watcher.go
+++ b/internal/cluster/watcher/watcher.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
-	"github.com/chivegauge/chivegauge/internal/platform/storer"
-	"github.com/chivegauge/chivegauge/internal/platform/timekeeper"
+	"github.com/chivegauge/chivegauge/internal/base/storer"
+	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 	"github.com/go-faster/errors"
 )
 
--- a/internal/command/runner/node.go
+++ b/internal/command/runner/node.go
@@ -7,7 +7,7 @@
 	"syscall"
 
 	"github.com/chivegauge/chivegauge/internal/app/supervisor"
-	"github.com/chivegauge/chivegauge/internal/platform/loader"
+	"github.com/chivegauge/chivegauge/internal/base/loader"
 	"github.com/rs/zerolog"
 )
 
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -144,6 +144,9 @@
 		d.count(c.Service, n)
 		last = d.attempt(ctx, m, c, account)
 		ran = ran || mayHaveRun(last)
+		if died(last) {
+			c = c.WithSuspect()
+		}
 		if !d.rule.Again(n, c, last) || !d.timeLeft(ctx, c) || !d.pay(c, account, last, &moves) {
 			break
 		}
@@ -157,6 +160,10 @@
 	return a.Refusal == nil || a.Refusal.Run != chivegauge.NotRun
 }
 
+func died(a chivegauge.Answer) bool {
+	return a.Refusal != nil && a.Refusal.Code == chivegauge.CodeBackendDied
+}
+
 // honest keeps a refusal from saying "not run" when an earlier attempt may have run.
 func honest(a chivegauge.Answer, ran bool) chivegauge.Answer {
 	if a.Refusal == nil || !ran || a.Refusal.Run != chivegauge.NotRun {
@@ -243,7 +250,7 @@
 	loan := account.LendAttempt()
 	c = c.WithAttempt(id.String(), loan)
 	answer, load := d.carry(ctx, self, m, c)
-	if answer.Refusal != nil && answer.Refusal.Code == chivegauge.CodeOutcomeUnknown {
+	if answer.Refusal != nil && (answer.Refusal.Code == chivegauge.CodeOutcomeUnknown || died(answer)) {
 		account.Lose(loan)
 	} else {
 		account.Return(loan, answer.Tokens)
@@ -267,7 +274,7 @@
 		return picker.Succeeded
 	case a.Refusal.Code == chivegauge.CodeUnreachable || a.Refusal.Code == chivegauge.CodeNoBackend:
 		return picker.Failed
-	case a.Refusal.Code == chivegauge.CodeOutcomeUnknown:
+	case a.Refusal.Code == chivegauge.CodeOutcomeUnknown || died(a):
 		return picker.Failed
 	default:
 		return picker.Refused
--- a/internal/request/dispatcher/rule.go
+++ b/internal/request/dispatcher/rule.go
@@ -19,6 +19,7 @@
 	chivegauge.CodeBusy:           true,
 	chivegauge.CodeSuspect:        true,
 	chivegauge.CodeOutcomeUnknown: true,
+	chivegauge.CodeBackendDied:    true,
 }
 
 // TokenRule allows attempts that the retry tokens of the whole call tree pay for.
--- a/internal/request/executor/running.go
+++ b/internal/request/executor/running.go
@@ -72,6 +72,7 @@
 	ending := isolator.Unrun
 	if refusal.Code == chivegauge.CodeOutcomeUnknown && !e.backend.Up() {
 		ending = isolator.Died
+		refusal = chivegauge.Unknown(chivegauge.CodeBackendDied, "the backend server died while it ran the request")
 	}
 	if ending == isolator.Died || refusal.Code == chivegauge.CodeNoBackend {
 		e.tellDown()
--- a/internal/request/hopper/wire.go
+++ b/internal/request/hopper/wire.go
@@ -28,6 +28,7 @@
 	headerTarget     = chivegauge.HeaderPrefix + "Target"
 	headerService    = chivegauge.HeaderPrefix + "Service"
 	headerIdempotent = chivegauge.HeaderPrefix + "Idempotent"
+	headerSuspect    = chivegauge.HeaderPrefix + "Suspect"
 	headerStatus     = chivegauge.HeaderPrefix + "Status"
 	headerMessage    = chivegauge.HeaderPrefix + "Message"
 	headerFields     = chivegauge.HeaderPrefix + "Fields"
@@ -52,6 +53,7 @@
 	set(chivegauge.HeaderForwards, strconv.Itoa(c.Forwards))
 	set(headerService, c.Service)
 	set(headerIdempotent, strconv.FormatBool(c.Idempotent))
+	set(headerSuspect, strconv.FormatBool(c.Suspect))
 	set(headerMethod, c.Method)
 	set(headerTarget, c.Target)
 	set(headerFields, string(fields))
@@ -71,6 +73,7 @@
 		Workspace:      get(chivegauge.HeaderWorkspace),
 		KeyID:          get(chivegauge.HeaderKeyID),
 		Idempotent:     get(headerIdempotent) == "true",
+		Suspect:        get(headerSuspect) == "true",
 		IdempotencyKey: get(chivegauge.HeaderIdempotency),
 		Method:         get(headerMethod),
 		Target:         get(headerTarget),
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -102,6 +102,9 @@
 	a := Admission{
 		fingerprint: fingerprint(c),
 	}
+	if c.Suspect {
+		i.suspect(a.fingerprint)
+	}
 	for {
 		switch i.verdict(a.fingerprint) {
 		case quarantiner.Clear:
@@ -127,6 +130,13 @@
 	}
 }
 
+// suspect takes in a suspicion that came with the call itself, for news between nodes may be late or lost.
+func (i *isolator) suspect(fingerprint uint64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.suspects.Blame(i.now(), fingerprint, false)
+}
+
 func (i *isolator) verdict(fingerprint uint64) quarantiner.Verdict {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -137,3 +137,30 @@
 		is.Equal(refusal, nil)
 	}
 }
+
+// TestSuspicionTravelsWithTheCall states that a second attempt runs alone although each notice of the first death was lost.
+func TestSuspicionTravelsWithTheCall(t *testing.T) {
+	is := is.New(t)
+	s := newService(func() time.Time { return time.Unix(1000, 0) })
+	call := chivegauge.Call{
+		Body: []byte("killer"),
+	}
+	deaths := 0
+	for _, address := range []string{"a", "b", "c"} {
+		a, refusal := s.nodes[address].Enter(context.Background(), call)
+		if refusal != nil && refusal.Elsewhere != "" {
+			a, refusal = s.nodes[refusal.Elsewhere].Enter(context.Background(), call)
+		}
+		if refusal != nil {
+			continue
+		}
+		deaths++
+		call = call.WithSuspect()
+		// Nobody hears of the death: only the call carries the suspicion, and a trial's death is known at its own node.
+		if a.Trial() {
+			is.Equal(deaths, 2)
+			return
+		}
+	}
+	t.Errorf("%d deaths without a trial", deaths)
+}
--- a/refusal.go
+++ b/refusal.go
@@ -28,6 +28,7 @@
 	CodeUnreachable     Code = "Unreachable"
 	CodeNotReady        Code = "NotReady"
 	CodeOutcomeUnknown  Code = "OutcomeUnknown"
+	CodeBackendDied     Code = "BackendServerDied"
 	CodeAttemptConflict Code = "AttemptConflict"
 	CodeKeyReused       Code = "IdempotencyKeyReused"
 )
@@ -98,6 +99,7 @@
 	CodeDeadline:        http.StatusGatewayTimeout,
 	CodeUnreachable:     http.StatusBadGateway,
 	CodeOutcomeUnknown:  http.StatusBadGateway,
+	CodeBackendDied:     http.StatusBadGateway,
 	CodeCancelled:       http.StatusServiceUnavailable,
 	CodeContextUnknown:  http.StatusForbidden,
 	CodeQuarantined:     http.StatusUnprocessableEntity,
