--- a/call.go
+++ b/call.go
@@ -32,10 +32,13 @@
 	// Suspect says that a backend server died while it ran an earlier attempt of the call.
 	Suspect bool
 
-	Method         string
-	Target         string
-	Header         []HeaderField
-	Body           []byte
+	// Caller is the service of the instance where the call began.
+	Caller string
+
+	Method string
+	Target string
+	Header []HeaderField
+	Body   []byte
 }
 
 // WithAttempt returns the call under an attempt ID and with the tokens lent to it.
--- /dev/null
+++ b/internal/app/assembler/assembler.go
@@ -0,0 +1,295 @@
+package assembler
+
+import (
+	"context"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
+	"github.com/chivegauge/chivegauge/internal/cluster/freshener"
+	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
+	"github.com/chivegauge/chivegauge/internal/policy/budgeter"
+	"github.com/chivegauge/chivegauge/internal/policy/limiter"
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
+	"github.com/chivegauge/chivegauge/internal/policy/scheduler"
+	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
+	"github.com/chivegauge/chivegauge/internal/stream/acceptor"
+	"github.com/chivegauge/chivegauge/internal/stream/connector"
+	"github.com/chivegauge/chivegauge/internal/stream/courier"
+	"github.com/chivegauge/chivegauge/internal/stream/forwarder"
+	"github.com/chivegauge/chivegauge/internal/stream/guardian"
+	"github.com/chivegauge/chivegauge/internal/telemetry/journaler"
+	"github.com/chivegauge/chivegauge/internal/telemetry/meter"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// holdBytes is the largest body that is held in memory, so that it can be sent again or known to be whole.
+	holdBytes = 64 << 10
+
+	// memoryPart is the part of the instance's memory at which the runtime collects harder.
+	memoryPart = 0.7
+
+	// gcPercent trades memory, of which little is used, for processor time.
+	gcPercent = 300
+
+	// dialTimeout covers a lost opening packet within a zone pair, not the seconds after which it is sent again.
+	dialTimeout = 400 * time.Millisecond
+
+	// peerSilence is how long sent bytes may stay unacknowledged before another node counts as gone.
+	peerSilence = 2 * time.Second
+
+	// peerKeep is how long an unused connection to another node is kept, below peerIdle.
+	peerKeep = 20 * time.Second
+	peerIdle = 30 * time.Second
+
+	// backendKeep is how long an unused connection to a backend server is kept that does not say how long it may be.
+	backendKeep = 2 * time.Second
+
+	// queueMax is the number of requests that wait for the backend server, queueTime how long they may.
+	queueMax  = 128
+	queueTime = 150 * time.Millisecond
+
+	// callDepth is the depth of call trees over which the retry budget is spread.
+	callDepth = 4
+
+	// proofMargin is what the check of a key's freshness may take.
+	proofMargin = 250 * time.Millisecond
+
+	// watchPart and watchSlack are the parts of the lifetime of a key for which one call waits and may be late, so that
+	// two calls in a row can fail before the proof is too old.
+	watchPart  = 0.3
+	watchSlack = 0.14
+
+	storeTimeout  = 700 * time.Millisecond
+	storeRetry    = 100 * time.Millisecond
+	storeRetryMax = 800 * time.Millisecond
+
+	// listPeriod is how often the list of nodes is read again; listYoung how long it is read more often after a start.
+	listPeriod      = 2 * time.Second
+	listYoungPeriod = 500 * time.Millisecond
+	listYoung       = 6 * time.Second
+
+	headerBytes   = 64 << 10
+	bodyBytes     = 64 << 20
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 30 * time.Second
+)
+
+// Stores are where what must last is kept.
+type Stores struct {
+	Configuration freshener.Source
+	Records       registrar.Store
+}
+
+// Node is a running node.
+type Node interface {
+	// Run serves until the context ends, then stops without cutting a request.
+	Run(ctx context.Context) error
+	// Ready reports whether callers are served.
+	Ready() bool
+	// Report takes in what the backend server says; it returns once the node holds to it.
+	Report(ctx context.Context, r guardian.Report)
+	// Leave takes in that the backend server of the ID leaves without further reports.
+	Leave(ctx context.Context, instance string)
+	// Meter returns the counters of the node.
+	Meter() meter.Meter
+	// Log returns the log of the node.
+	Log() zerolog.Logger
+}
+
+type node struct {
+	settings Settings
+	log      zerolog.Logger
+	journal  journaler.Journaler
+	meter    meter.Meter
+	config   freshener.Freshener
+	members  registrar.Registrar
+	guardian guardian.Guardian
+	rates    *rates
+	callers  acceptor.Acceptor
+	peers    acceptor.Acceptor
+	stopping chan struct{}
+}
+
+// New returns the node of the settings, or an error.
+func New(s Settings, stores Stores) (Node, error) {
+	m, err := meter.New()
+	if err != nil {
+		return nil, err
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
+	j := journaler.New(s.Log)
+	n := &node{
+		settings: s,
+		log:      zerolog.New(j).With().Timestamp().Str("Node", s.Name).Logger(),
+		journal:  j,
+		meter:    m,
+		stopping: make(chan struct{}),
+	}
+	n.store(stores)
+	n.serve()
+	return n, nil
+}
+
+// store builds what follows the stores.
+func (n *node) store(stores Stores) {
+	s := n.settings
+	n.config = freshener.New(freshener.Config{
+		Wait:       time.Duration(watchPart * float64(s.KeyLifetime)),
+		Timeout:    time.Duration(watchSlack * float64(s.KeyLifetime)),
+		RetryFirst: storeRetry,
+		RetryMax:   storeRetryMax,
+	}, stores.Configuration, n.log)
+	own := registrar.Record{
+		Member: s.Member.WithIncarnation(chivegauge.FirstIncarnation(timekeeper.Now().UnixMilli())),
+	}
+	n.members = registrar.New(registrar.Config{
+		Timeout:     storeTimeout,
+		Period:      listPeriod,
+		YoungPeriod: listYoungPeriod,
+		Young:       listYoung,
+		RetryMax:    storeRetryMax,
+	}, stores.Records, newTeller(), own, n.log)
+	n.rates = newRates(s.FirstStart)
+	n.config.Listen(n.rates.configure)
+	n.members.Listen(n.rates.resize)
+}
+
+// serve builds what carries requests.
+func (n *node) serve() {
+	s := n.settings
+	limit := limiter.NewDeclared()
+	gate := gatekeeper.New(time.Now, limit, scheduler.New(queueMax), gatekeeper.WithMaxWait(queueTime))
+	backend := connector.New(connector.Config{
+		Address:     s.Backend,
+		DialTimeout: dialTimeout,
+		KeepFor:     backendKeep,
+		Attempt:     s.Names.Attempt,
+		HoldBytes:   holdBytes,
+	})
+	n.guardian = guardian.New(s.Names, gate, limit, backend)
+	remote := courier.New(courier.Config{
+		DialTimeout: dialTimeout,
+		Silence:     peerSilence,
+		KeepFor:     peerKeep,
+		Attempt:     s.Names.Attempt,
+		HoldBytes:   holdBytes,
+	})
+	f := forwarder.New(forwarder.Config{
+		Names:    s.Names,
+		Config:   n.config,
+		Members:  n.members,
+		Rates:    n.rates,
+		Local:    n.guardian,
+		Remote:   remote,
+		Picker:   picker.New(s.Member.Zone, s.Member.Region),
+		Budget:   budgeter.New(s.RetryRatio/callDepth, max(1, s.RetrySlack/float64(2*expectedNodes))),
+		Meter:    n.meter,
+		Log:      n.log,
+		HoldMax:  holdBytes,
+		ProofMax: s.KeyLifetime - proofMargin,
+	})
+	n.callers = acceptor.New(f, n.limits)
+	n.peers = acceptor.New(&peers{
+		records:  n.members,
+		receiver: courier.NewReceiver(s.Names, n.guardian, holdBytes),
+	}, peerLimits)
+}
+
+// expectedNodes is the number of nodes over which the slack of the retry budget is spread.
+const expectedNodes = 20
+
+func (n *node) limits() acceptor.Limits {
+	l := peerLimits()
+	r, ok := n.config.Router()
+	if !ok {
+		return l
+	}
+	b := r.Bounds()
+	if b.HeaderBytes > 0 {
+		l.HeaderBytes = b.HeaderBytes
+	}
+	if b.BodyBytes > 0 {
+		l.BodyBytes = b.BodyBytes
+	}
+	if b.HeaderTimeout > 0 {
+		l.HeaderTimeout = b.HeaderTimeout
+	}
+	if b.IdleTimeout > 0 {
+		l.IdleTimeout = b.IdleTimeout
+	}
+	return l
+}
+
+func peerLimits() acceptor.Limits {
+	return acceptor.Limits{
+		HeaderBytes:   headerBytes,
+		BodyBytes:     bodyBytes,
+		HeaderTimeout: headerTimeout,
+		IdleTimeout:   max(idleTimeout, peerIdle),
+	}
+}
+
+// Meter returns the counters of the node.
+func (n *node) Meter() meter.Meter {
+	return n.meter
+}
+
+// Log returns the log of the node.
+func (n *node) Log() zerolog.Logger {
+	return n.log
+}
+
+// Ready reports whether the node has a configuration and the list of nodes, and is not stopping.
+func (n *node) Ready() bool {
+	select {
+	case <-n.stopping:
+		return false
+	default:
+	}
+	_, ok := n.config.Router()
+	return ok && n.members.Known()
+}
+
+// Run serves until the context ends, then stops.
+func (n *node) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", n.settings.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	peers, err := net.Listen("tcp", n.settings.Member.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for nodes")
+	}
+	n.log.Info().Str("Callers", n.settings.Callers).Str("Peers", n.settings.Member.Address).Str("Service", n.settings.Member.Service).Msg("node started")
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, inner := errgroup.WithContext(inner)
+	group.Go(func() error { return n.journal.Serve(inner) })
+	group.Go(func() error { return n.config.Serve(inner) })
+	group.Go(func() error { return n.members.Serve(inner) })
+	group.Go(func() error { return n.callers.Serve(inner, callers) })
+	group.Go(func() error { return n.peers.Serve(inner, peers) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			n.stop(inner)
+		case <-inner.Done():
+		}
+		_ = callers.Close()
+		_ = peers.Close()
+		cancel()
+		return nil
+	})
+	err = group.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
--- a/internal/app/supervisor/keys.go
+++ b/internal/app/supervisor/keys.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 	"github.com/chivegauge/chivegauge/internal/cluster/dialer"
 	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
-	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 	"github.com/chivegauge/chivegauge/internal/policy/rememberer"
 	"github.com/go-faster/errors"
 )
--- /dev/null
+++ b/internal/cluster/freshener/freshener.go
@@ -0,0 +1,187 @@
+package freshener
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
+	"github.com/chivegauge/chivegauge/internal/request/router"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+)
+
+// ErrHistoryGone is returned by Await when the source no longer knows what changed since the revision.
+var ErrHistoryGone = errors.New("the history since the revision is gone")
+
+// Reading is what a source says; Document is nil where nothing changed.
+type Reading struct {
+	Document *router.Document
+	Revision uint64
+}
+
+// Source is where the configuration is kept; each successful call proves what was newest when it was sent.
+type Source interface {
+	// Read returns the newest configuration.
+	Read(ctx context.Context) (Reading, error)
+	// Await returns the next change after the revision, or an unchanged reading after the wait.
+	Await(ctx context.Context, revision uint64, wait time.Duration) (Reading, error)
+}
+
+// Config bounds the calls to the source.
+type Config struct {
+	// Wait is how long one call waits for a change.
+	Wait time.Duration
+
+	// Timeout is how much longer than its wait a call may take.
+	Timeout time.Duration
+
+	// RetryFirst and RetryMax bound the pause after a failed call.
+	RetryFirst time.Duration
+	RetryMax   time.Duration
+}
+
+// Freshener holds the configuration in force.
+type Freshener interface {
+	// Serve follows the source until the context ends.
+	Serve(ctx context.Context) error
+	// Router returns the configuration in force, and whether there is one yet.
+	Router() (router.Router, bool)
+	// Age returns the time since the configuration was proved to be the newest.
+	Age() time.Duration
+	// Listen registers a function that is called with each configuration taken into force.
+	Listen(f func(router.Router))
+}
+
+type freshener struct {
+	cfg       Config
+	source    Source
+	log       zerolog.Logger
+	listeners []func(router.Router)
+	current   atomic.Pointer[router.Router]
+
+	mu       sync.Mutex
+	proof    time.Time
+	revision uint64
+	lost     bool
+}
+
+// New returns a freshener without a configuration.
+func New(cfg Config, s Source, log zerolog.Logger) Freshener {
+	return &freshener{
+		cfg:    cfg,
+		source: s,
+		log:    log,
+	}
+}
+
+// Listen registers a listener; it must be called before Serve.
+func (f *freshener) Listen(l func(router.Router)) {
+	f.listeners = append(f.listeners, l)
+}
+
+// Router returns the configuration in force.
+func (f *freshener) Router() (router.Router, bool) {
+	r := f.current.Load()
+	if r == nil {
+		return nil, false
+	}
+	return *r, true
+}
+
+// Age returns the time since the proof, suspension of the instance included.
+func (f *freshener) Age() time.Duration {
+	f.mu.Lock()
+	proof := f.proof
+	f.mu.Unlock()
+	return timekeeper.Now().Sub(proof)
+}
+
+// Serve reads, then awaits change after change.
+func (f *freshener) Serve(ctx context.Context) error {
+	pause := f.cfg.RetryFirst
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			pause = f.cfg.RetryFirst
+			continue
+		}
+		f.note(err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, f.cfg.RetryMax)
+	}
+	return ctx.Err()
+}
+
+// step makes one call; its proof counts from when it was sent.
+func (f *freshener) step(ctx context.Context) error {
+	sent := timekeeper.Now()
+	reading, err := f.call(ctx)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.revision = reading.Revision
+	lost := f.lost
+	f.lost = false
+	f.mu.Unlock()
+	if reading.Document != nil {
+		f.accept(*reading.Document)
+	}
+	f.mu.Lock()
+	f.proof = sent
+	f.mu.Unlock()
+	if lost {
+		f.log.Info().Uint64("Revision", reading.Revision).Msg("configuration source regained")
+	}
+	return nil
+}
+
+func (f *freshener) call(ctx context.Context) (Reading, error) {
+	f.mu.Lock()
+	revision := f.revision
+	f.mu.Unlock()
+	_, known := f.Router()
+	if !known || revision == 0 {
+		ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+		defer cancel()
+		return f.source.Read(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Timeout)
+	defer cancel()
+	return f.source.Await(ctx, revision, f.cfg.Wait)
+}
+
+// accept takes a newer configuration into force; an older one changes nothing.
+func (f *freshener) accept(d router.Document) {
+	old, ok := f.Router()
+	if ok && d.Version <= old.Version() {
+		if d.Version < old.Version() {
+			f.log.Warn().Uint64("Version", d.Version).Uint64("InForce", old.Version()).Msg("older configuration ignored")
+		}
+		return
+	}
+	r := router.New(d)
+	f.current.Store(&r)
+	f.log.Info().Uint64("Version", d.Version).Int("Routes", len(d.Config.Routes)).Int("Workspaces", len(d.Config.Workspaces)).Msg("configuration in force")
+	for _, l := range f.listeners {
+		l(r)
+	}
+}
+
+// note takes a failed call in: the next one reads anew.
+func (f *freshener) note(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = 0
+	if f.lost || errors.Is(err, ErrHistoryGone) {
+		return
+	}
+	f.lost = true
+	f.log.Warn().Err(err).Dur("ProofAgeMs", timekeeper.Now().Sub(f.proof)).Msg("configuration source lost")
+}
--- a/internal/cluster/planner/planner.go
+++ b/internal/cluster/planner/planner.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/base/storer"
 	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
 	"github.com/chivegauge/chivegauge/internal/cluster/surveyor"
-	"github.com/chivegauge/chivegauge/internal/base/storer"
 	"github.com/go-faster/errors"
 )
 
--- a/internal/cluster/planner/planner_test.go
+++ b/internal/cluster/planner/planner_test.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/base/storer"
 	"github.com/chivegauge/chivegauge/internal/cluster/planner"
 	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
 	"github.com/chivegauge/chivegauge/internal/cluster/surveyor"
-	"github.com/chivegauge/chivegauge/internal/base/storer"
 	"github.com/chivegauge/chivegauge/internal/proof/seeder"
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
--- a/internal/cluster/slotter/slotter.go
+++ b/internal/cluster/slotter/slotter.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/chivegauge/chivegauge"
-	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
 	"github.com/chivegauge/chivegauge/internal/base/storer"
+	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
 	"github.com/chivegauge/chivegauge/internal/policy/allocator"
 	"github.com/chivegauge/chivegauge/internal/policy/keeper"
 	"github.com/go-faster/errors"
--- a/internal/cluster/watcher/watcher.go
+++ b/internal/cluster/watcher/watcher.go
@@ -6,9 +6,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/chivegauge/chivegauge"
-	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
 	"github.com/chivegauge/chivegauge/internal/base/storer"
 	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
+	"github.com/chivegauge/chivegauge/internal/cluster/replicator"
 	"github.com/go-faster/errors"
 )
 
--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -67,6 +67,7 @@
 		data  any
 	}{
 		{"node", "Run the node beside a backend server", &nodeCommand{env: env}},
+		{"sidecar", "Run a node on the Greensward platform, with the settings file that CHIVEGAUGE_SETTINGS names", &sidecarCommand{env: env}},
 		{"check", "Check a settings file and name each fault", &checkCommand{env: env}},
 		{"plan", "Print the plan of the intents in a file", &planCommand{remoteOptions: remote()}},
 		{"confirm", "Apply a plan if its base still holds", &confirmCommand{remoteOptions: remote()}},
--- /dev/null
+++ b/internal/command/runner/sidecar.go
@@ -0,0 +1,20 @@
+package runner
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/chivegauge/chivegauge/platform"
+)
+
+type sidecarCommand struct {
+	env *environment
+}
+
+// Execute runs a node on the users' platform until it is told to stop.
+func (c *sidecarCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return platform.Run(ctx, c.env.out)
+}
--- /dev/null
+++ b/internal/policy/divider/doc.go
@@ -0,0 +1,2 @@
+// Package divider keeps this node's part of the rates of workspaces.
+package divider
--- /dev/null
+++ b/internal/policy/limiter/declared.go
@@ -0,0 +1,37 @@
+package limiter
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Declared is a limiter whose limit the backend server declares.
+type Declared interface {
+	Limiter
+	// Declare sets the number of runs that the backend server allows at once, at least 1.
+	Declare(runs int)
+}
+
+type declared struct {
+	limit atomic.Int64
+}
+
+// NewDeclared returns a limiter that allows one run until told otherwise.
+func NewDeclared() Declared {
+	d := &declared{}
+	d.limit.Store(1)
+	return d
+}
+
+// Limit returns the limit in runs.
+func (d *declared) Limit() int {
+	return int(d.limit.Load())
+}
+
+// Declare sets the limit in runs.
+func (d *declared) Declare(runs int) {
+	d.limit.Store(int64(max(1, runs)))
+}
+
+// Observe ignores the run.
+func (d *declared) Observe(time.Time, Sample) {}
--- /dev/null
+++ b/internal/policy/splitter/doc.go
@@ -0,0 +1,3 @@
+// Package splitter deals the requests of a route out to services in the
+// proportion of their weights.
+package splitter
--- a/internal/request/hopper/hopper.go
+++ b/internal/request/hopper/hopper.go
@@ -279,7 +279,7 @@
 	}
 	return exchange{
 		answer: a,
-		load:   decodeLoad(res.Header.Get(chivegauge.HeaderRunning)),
+		load:   DecodeLoad(res.Header.Get(chivegauge.HeaderRunning)),
 	}
 }
 
--- a/internal/request/hopper/load.go
+++ b/internal/request/hopper/load.go
@@ -13,8 +13,8 @@
 	return fmt.Sprintf(loadFormat, l.Running, l.Waiting, l.Limit)
 }
 
-// decodeLoad returns the load in s, or no load at all.
-func decodeLoad(s string) picker.Load {
+// DecodeLoad returns the load in s, or no load at all.
+func DecodeLoad(s string) picker.Load {
 	l := picker.Load{}
 	if _, err := fmt.Sscanf(s, loadFormat, &l.Running, &l.Waiting, &l.Limit); err != nil {
 		return picker.Load{}
--- /dev/null
+++ b/internal/stream/courier/courier.go
@@ -0,0 +1,70 @@
+package courier
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
+	"github.com/chivegauge/chivegauge/internal/stream/carrier"
+	"github.com/chivegauge/chivegauge/internal/stream/connector"
+	"github.com/go-faster/errors"
+)
+
+// Config is how connections to other nodes are made and kept; the address is filled in.
+type Config = connector.Config
+
+// Courier carries requests to other nodes.
+type Courier interface {
+	// Carry returns the answer of the member's backend server or a refusal that says what is known, and its load.
+	Carry(ctx context.Context, m chivegauge.Member, c chivegauge.Call, r *carrier.Request) (*carrier.Answer, picker.Load)
+}
+
+type courier struct {
+	cfg Config
+
+	mu    sync.Mutex
+	peers map[string]connector.Connector
+}
+
+// New returns a courier without connections.
+func New(cfg Config) Courier {
+	return &courier{
+		cfg:   cfg,
+		peers: map[string]connector.Connector{},
+	}
+}
+
+func (c *courier) peer(address string) connector.Connector {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[address]
+	if p == nil {
+		cfg := c.cfg
+		cfg.Address = address
+		p = connector.New(cfg)
+		c.peers[address] = p
+	}
+	return p
+}
+
+// Carry sends the request once.
+func (c *courier) Carry(ctx context.Context, m chivegauge.Member, call chivegauge.Call, r *carrier.Request) (*carrier.Answer, picker.Load) {
+	out := *r
+	out.Header = encodeCall(time.Now(), call, r.Header)
+	p := c.peer(m.Address)
+	a, err := p.Exchange(ctx, &out)
+	if err == nil {
+		return a, decodeAnswer(a)
+	}
+	failed := &connector.Error{}
+	if errors.As(err, &failed) && !failed.Sent {
+		return carrier.Refusal(chivegauge.Refuse(chivegauge.CodeUnreachable, "the node can't be reached: "+err.Error())), picker.Load{}
+	}
+	if ctx.Err() != nil {
+		return carrier.Refusal(chivegauge.Unknown(chivegauge.CodeDeadline, "no answer in time")), picker.Load{}
+	}
+	p.Drop()
+	return carrier.Refusal(chivegauge.Unknown(chivegauge.CodeOutcomeUnknown, "the node broke off: "+err.Error())), picker.Load{}
+}
--- /dev/null
+++ b/internal/stream/courier/wire.go
@@ -0,0 +1,100 @@
+package courier
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
+	"github.com/chivegauge/chivegauge/internal/request/hopper"
+	"github.com/chivegauge/chivegauge/internal/stream/carrier"
+	"github.com/go-faster/errors"
+)
+
+// Header names of the hop beside the common ones.
+const (
+	headerService    = chivegauge.HeaderPrefix + "Service"
+	headerIdempotent = chivegauge.HeaderPrefix + "Idempotent"
+	headerCaller     = chivegauge.HeaderPrefix + "Caller"
+	headerMessage    = chivegauge.HeaderPrefix + "Message"
+	headerArrived    = chivegauge.HeaderPrefix + "Arrived"
+)
+
+// encodeCall returns the header of the request with what the other node needs to know of the call at now.
+func encodeCall(now time.Time, c chivegauge.Call, from http.Header) http.Header {
+	h := make(http.Header, len(from)+8)
+	for name, values := range from {
+		h[name] = values
+	}
+	h.Set(chivegauge.HeaderRoute, c.Route)
+	h.Set(headerService, c.Service)
+	h.Set(chivegauge.HeaderWorkspace, c.Workspace)
+	h.Set(chivegauge.HeaderImportance, c.Importance.String())
+	h.Set(chivegauge.HeaderBudgetMs, strconv.FormatInt(c.Budget(now).Milliseconds(), 10))
+	h.Set(headerIdempotent, strconv.FormatBool(c.Idempotent))
+	h.Set(headerCaller, c.Caller)
+	return h
+}
+
+// decodeCall returns the call that the header carries, its deadline counted from now, or an error.
+func decodeCall(now time.Time, id string, h http.Header) (chivegauge.Call, error) {
+	c := chivegauge.Call{
+		RequestID:  id,
+		Route:      h.Get(chivegauge.HeaderRoute),
+		Service:    h.Get(headerService),
+		Workspace:  h.Get(chivegauge.HeaderWorkspace),
+		Idempotent: h.Get(headerIdempotent) == "true",
+		Caller:     h.Get(headerCaller),
+	}
+	if err := c.Importance.UnmarshalText([]byte(h.Get(chivegauge.HeaderImportance))); err != nil {
+		return c, err
+	}
+	budget, err := strconv.Atoi(h.Get(chivegauge.HeaderBudgetMs))
+	if err != nil {
+		return c, errors.Wrap(err, "read budget")
+	}
+	c.Deadline = now.Add(time.Duration(budget) * time.Millisecond)
+	return c, nil
+}
+
+// encodeAnswer adds to the header what the other node needs to know of the answer.
+func encodeAnswer(a *carrier.Answer, load picker.Load) {
+	a.Header.Set(chivegauge.HeaderRunning, hopper.EncodeLoad(load))
+	r := a.Refusal
+	if r == nil {
+		return
+	}
+	a.Header.Set(chivegauge.HeaderCode, string(r.Code))
+	a.Header.Set(chivegauge.HeaderRun, string(r.Run))
+	a.Header.Set(headerMessage, r.Message)
+	a.Header.Set(chivegauge.HeaderRetryAfter, strconv.Itoa(r.RetryAfterMs))
+	a.Header.Set(headerArrived, strconv.FormatBool(r.Arrived))
+}
+
+// decodeAnswer takes what encodeAnswer added out of the header.
+func decodeAnswer(a *carrier.Answer) picker.Load {
+	load := hopper.DecodeLoad(a.Header.Get(chivegauge.HeaderRunning))
+	if code := a.Header.Get(chivegauge.HeaderCode); code != "" {
+		a.Refusal = decodeRefusal(a.Header, code)
+	}
+	for name := range a.Header {
+		if chivegauge.InternalHeader(name) {
+			delete(a.Header, name)
+		}
+	}
+	return load
+}
+
+func decodeRefusal(h http.Header, code string) *chivegauge.Refusal {
+	r := &chivegauge.Refusal{
+		Code:    chivegauge.Code(code),
+		Run:     chivegauge.Run(h.Get(chivegauge.HeaderRun)),
+		Message: h.Get(headerMessage),
+		Arrived: h.Get(headerArrived) == "true",
+	}
+	if ms, err := strconv.Atoi(h.Get(chivegauge.HeaderRetryAfter)); err == nil {
+		r.RetryAfterMs = ms
+	}
+	return r
+}
--- /dev/null
+++ b/internal/stream/encoder/doc.go
@@ -0,0 +1,2 @@
+// Package encoder writes requests and answers in HTTP/1.1.
+package encoder
--- /dev/null
+++ b/internal/stream/forwarder/doc.go
@@ -0,0 +1,3 @@
+// Package forwarder takes a request where it begins, decides whether and
+// where it runs, and answers for the outcome.
+package forwarder
--- /dev/null
+++ b/internal/stream/forwarder/forwarder.go
@@ -0,0 +1,185 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/policy/budgeter"
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
+	"github.com/chivegauge/chivegauge/internal/policy/splitter"
+	"github.com/chivegauge/chivegauge/internal/request/router"
+	"github.com/chivegauge/chivegauge/internal/stream/carrier"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// movesMax is the number of further nodes that are asked for a request that no backend server was sent.
+	movesMax = 3
+
+	// lateSlack is how long after its deadline a request is given up, so that the backend server can answer by itself first.
+	lateSlack = 100 * time.Millisecond
+
+	// retryAfter is when a caller is told to come back after a refusal for want of room.
+	retryAfter = 250 * time.Millisecond
+)
+
+// Configuration is what is in force and how old the proof of that is.
+type Configuration interface {
+	// Router returns the routes and keys in force, and whether there are any yet.
+	Router() (router.Router, bool)
+	// Age returns the time since the configuration was proved to be the newest.
+	Age() time.Duration
+}
+
+// Members are the nodes and the backend servers beside them.
+type Members interface {
+	Self() chivegauge.Member
+	Service(name string) []chivegauge.Member
+}
+
+// Rates spends the tokens of workspaces.
+type Rates interface {
+	Take(now time.Time, workspace string) (ok bool, wait time.Duration)
+}
+
+// Executor runs requests on the backend server beside the node.
+type Executor interface {
+	Run(ctx context.Context, c chivegauge.Call, r *carrier.Request) *carrier.Answer
+	Load() picker.Load
+}
+
+// Courier carries requests to other nodes.
+type Courier interface {
+	Carry(ctx context.Context, m chivegauge.Member, c chivegauge.Call, r *carrier.Request) (*carrier.Answer, picker.Load)
+}
+
+// Meter counts outcomes.
+type Meter interface {
+	Served(workspace, route string, refusal *chivegauge.Refusal, took time.Duration)
+}
+
+// Config is what a forwarder is built of.
+type Config struct {
+	Names    chivegauge.HeaderNames
+	Config   Configuration
+	Members  Members
+	Rates    Rates
+	Local    Executor
+	Remote   Courier
+	Picker   picker.Picker
+	Budget   budgeter.Budgeter
+	Meter    Meter
+	Log      zerolog.Logger
+	HoldMax  int64
+	ProofMax time.Duration
+}
+
+// Forwarder answers the requests that begin at this node.
+type Forwarder interface {
+	// Handle returns the answer to the request.
+	Handle(ctx context.Context, r *carrier.Request) *carrier.Answer
+}
+
+type forwarder struct {
+	Config
+	mu       sync.Mutex
+	splitter splitter.Splitter
+}
+
+// New returns a forwarder of the parts.
+func New(cfg Config) Forwarder {
+	return &forwarder{
+		Config:   cfg,
+		splitter: splitter.New(),
+	}
+}
+
+// Handle admits the request, sends it and answers for the outcome.
+func (f *forwarder) Handle(ctx context.Context, r *carrier.Request) *carrier.Answer {
+	call, refusal := f.admit(r)
+	if refusal != nil {
+		return f.conclude(call, r, carrier.Refusal(refusal))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(call.Budget(time.Now())+lateSlack, cancel)
+	answer := f.forward(ctx, call, r)
+	timer.Stop()
+	answer.OnRelease(cancel)
+	return f.conclude(call, r, answer)
+}
+
+// conclude makes a refusal presentable, and counts and logs the outcome.
+func (f *forwarder) conclude(c chivegauge.Call, r *carrier.Request, a *carrier.Answer) *carrier.Answer {
+	took := time.Since(r.Arrived)
+	f.Meter.Served(c.Workspace, c.Route, a.Refusal, took)
+	if a.Refusal != nil {
+		present(a)
+		a.Header.Set(f.Names.Attempt, c.RequestID)
+	}
+	f.journal(c, a, took)
+	return a
+}
+
+// send carries the request to a member and tells the picker what came of it.
+func (f *forwarder) send(ctx context.Context, m chivegauge.Member, c chivegauge.Call, r *carrier.Request) *carrier.Answer {
+	a, load := f.carry(ctx, m, c, r)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Picker.End(time.Now(), m.Address, outcome(a), load)
+	return a
+}
+
+func (f *forwarder) carry(ctx context.Context, m chivegauge.Member, c chivegauge.Call, r *carrier.Request) (*carrier.Answer, picker.Load) {
+	if m.Address == f.Members.Self().Address {
+		a := f.Local.Run(ctx, c, r)
+		return a, f.Local.Load()
+	}
+	return f.Remote.Carry(ctx, m, c, r)
+}
+
+func outcome(a *carrier.Answer) picker.Outcome {
+	if a.Refusal == nil {
+		if a.Status >= http.StatusInternalServerError {
+			return picker.Refused
+		}
+		return picker.Succeeded
+	}
+	switch a.Refusal.Code {
+	case chivegauge.CodeUnreachable, chivegauge.CodeNoBackend, chivegauge.CodeOutcomeUnknown:
+		return picker.Failed
+	default:
+		return picker.Refused
+	}
+}
+
+// pick returns the member to send to next, other than those tried.
+func (f *forwarder) pick(service string, tried []string) (chivegauge.Member, bool) {
+	members := f.Members.Service(service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.Picker.Pick(time.Now(), members, tried, rand.IntN)
+	if ok {
+		f.Picker.Begin(m.Address)
+	}
+	return m, ok
+}
+
+// service returns the service that the next request on the route goes to.
+func (f *forwarder) service(route chivegauge.Route) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	service := f.splitter.Choose(route)
+	f.Budget.First(service)
+	return service
+}
+
+// paid takes one further arrival at the service out of the retry budget.
+func (f *forwarder) paid(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Budget.Retry(service)
+}
--- /dev/null
+++ b/internal/stream/forwarder/present.go
@@ -0,0 +1,61 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/stream/carrier"
+)
+
+const milliBits = 3
+
+// present gives a refusal the status, the headers and the body that callers see.
+func present(a *carrier.Answer) {
+	r := a.Refusal
+	a.Status = status(r)
+	body, err := json.Marshal(r)
+	if err != nil {
+		body = []byte(r.Error())
+	}
+	a.Header = http.Header{}
+	a.Header.Set("Content-Type", "application/json")
+	if r.RetryAfterMs > 0 && r.Run == chivegauge.NotRun {
+		seconds := (time.Duration(r.RetryAfterMs) * time.Millisecond).Seconds()
+		a.Header.Set(chivegauge.HeaderRetryAfter, strconv.FormatFloat(seconds, 'f', milliBits, 64))
+	}
+	a.Hold(body)
+}
+
+// status returns the status of a refusal: 429 and 503 only for what has not run and never will.
+func status(r *chivegauge.Refusal) int {
+	if r.Run == chivegauge.NotRun {
+		if r.Code == chivegauge.CodeDeadline {
+			return http.StatusServiceUnavailable
+		}
+		return r.Status()
+	}
+	if r.Code == chivegauge.CodeDeadline {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// journal writes one line about the outcome of the request.
+func (f *forwarder) journal(c chivegauge.Call, a *carrier.Answer, took time.Duration) {
+	e := f.Log.Info()
+	if a.Refusal != nil {
+		e = f.Log.Warn().Str("Code", string(a.Refusal.Code)).Str("Run", string(a.Refusal.Run)).Str("Reason", a.Refusal.Message)
+	}
+	if e == nil {
+		return
+	}
+	version := uint64(0)
+	if cfg, ok := f.Config.Config.Router(); ok {
+		version = cfg.Version()
+	}
+	e.Str("Request", c.RequestID).Str("Route", c.Route).Str("Service", c.Service).Str("Workspace", c.Workspace).
+		Uint64("ConfigVersion", version).Int("Status", a.Status).Dur("TookMs", took).Msg("request answered")
+}
--- /dev/null
+++ b/internal/stream/guardian/guardian.go
@@ -0,0 +1,217 @@
+package guardian
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/policy/limiter"
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
+	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
+	"github.com/chivegauge/chivegauge/internal/stream/carrier"
+	"github.com/chivegauge/chivegauge/internal/stream/connector"
+	"github.com/go-faster/errors"
+)
+
+// downPause is how long a backend server that refused a connection is not tried again.
+const downPause = 200 * time.Millisecond
+
+// Guardian runs requests on the backend server beside the node.
+type Guardian interface {
+	// Run carries the request to the backend server once it may run, and returns its answer or a refusal.
+	Run(ctx context.Context, c chivegauge.Call, r *carrier.Request) *carrier.Answer
+	// Report takes in what the backend server says, and reports whether it was news.
+	Report(now time.Time, r Report) bool
+	// Leave takes in that the backend server leaves without further reports.
+	Leave(now time.Time, instance string) bool
+	// Current returns the last report, and whether there is one.
+	Current() (Report, bool)
+	// Load returns the running and waiting requests and the limit.
+	Load() picker.Load
+	// Stop refuses all further requests of other nodes.
+	Stop()
+}
+
+type guardian struct {
+	names   chivegauge.HeaderNames
+	gate    gatekeeper.Gatekeeper
+	limit   limiter.Declared
+	backend connector.Connector
+
+	mu      sync.Mutex
+	report  Report
+	known   bool
+	stopped bool
+	downTo  time.Time
+}
+
+// New returns a guardian that refuses everything until the backend server reports.
+func New(names chivegauge.HeaderNames, g gatekeeper.Gatekeeper, l limiter.Declared, b connector.Connector) Guardian {
+	return &guardian{
+		names:   names,
+		gate:    g,
+		limit:   l,
+		backend: b,
+	}
+}
+
+// Report takes in a report that is newer than the last one.
+func (g *guardian) Report(_ time.Time, r Report) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.known && !r.Newer(g.report) {
+		return false
+	}
+	if g.known && !r.SameStart(g.report) {
+		g.backend.Drop()
+		g.downTo = time.Time{}
+	}
+	if g.known && r.SameStart(g.report) && g.report.Leaving {
+		r = r.WithLeaving()
+	}
+	g.take(r)
+	return true
+}
+
+func (g *guardian) take(r Report) {
+	g.report = r
+	g.known = true
+	g.limit.Declare(r.Slots)
+	g.gate.SetDraining(r.Leaving)
+}
+
+// Leave takes in that the backend server of the ID leaves.
+func (g *guardian) Leave(_ time.Time, instance string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.known || g.report.Instance != instance || g.report.Leaving {
+		return false
+	}
+	g.take(g.report.WithLeaving())
+	return true
+}
+
+// Current returns the last report.
+func (g *guardian) Current() (Report, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.report, g.known
+}
+
+// Load returns the running and waiting requests and the limit.
+func (g *guardian) Load() picker.Load {
+	return g.gate.Load()
+}
+
+// Stop refuses all further requests of other nodes.
+func (g *guardian) Stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = true
+}
+
+// usable returns the report of the backend server if it may be sent work at now, or a refusal.
+func (g *guardian) usable(now time.Time) (Report, *chivegauge.Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case !g.known:
+		return Report{}, chivegauge.Refuse(chivegauge.CodeNoBackend, "the backend server has not reported yet")
+	case g.stopped:
+		return Report{}, chivegauge.Refuse(chivegauge.CodeDraining, "the node is stopping")
+	case g.report.Leaving:
+		return Report{}, chivegauge.Refuse(chivegauge.CodeDraining, "the backend server is leaving")
+	case now.Before(g.downTo):
+		return Report{}, chivegauge.Refuse(chivegauge.CodeNoBackend, "the backend server refused a connection")
+	default:
+		return g.report, nil
+	}
+}
+
+// Run lets the request in, sends it and tells what became of it.
+func (g *guardian) Run(ctx context.Context, c chivegauge.Call, r *carrier.Request) *carrier.Answer {
+	before, refusal := g.usable(time.Now())
+	if refusal != nil {
+		return carrier.Refusal(refusal)
+	}
+	pass, refusal := g.gate.Enter(ctx, c)
+	if refusal != nil {
+		return carrier.Refusal(refusal)
+	}
+	now := time.Now()
+	report, refusal := g.usable(now)
+	if refusal == nil && !report.SameStart(before) && report.Service != c.Service {
+		refusal = chivegauge.Refuse(chivegauge.CodeNoBackend, "another service has the address")
+	}
+	if refusal == nil && c.Budget(now) <= 0 {
+		refusal = chivegauge.Refuse(chivegauge.CodeDeadline, "the deadline has passed")
+	}
+	if refusal != nil {
+		g.gate.Leave(pass, true)
+		return carrier.Refusal(refusal)
+	}
+	a, err := g.backend.Exchange(ctx, g.outgoing(c, r, report, now))
+	if err != nil {
+		g.gate.Leave(pass, true)
+		return carrier.Refusal(g.failure(ctx, err, c))
+	}
+	return g.judge(a, pass)
+}
+
+// outgoing returns the request as the backend server is to see it.
+func (g *guardian) outgoing(c chivegauge.Call, r *carrier.Request, report Report, now time.Time) *carrier.Request {
+	out := *r
+	out.Header = make(http.Header, len(r.Header)+4)
+	for name, values := range r.Header {
+		if !chivegauge.InternalHeader(name) {
+			out.Header[name] = values
+		}
+	}
+	out.Header.Del("Authorization")
+	out.Header.Del(g.names.Workspace)
+	if c.Workspace != "" {
+		out.Header.Set(g.names.Workspace, c.Workspace)
+	}
+	out.Header.Set(g.names.Caller, c.Caller)
+	out.Header.Set(g.names.Expected, report.Instance)
+	out.Header.Set(g.names.BudgetMs, strconv.FormatInt(max(1, c.Budget(now).Milliseconds()), 10))
+	return &out
+}
+
+// failure returns what is known of a run whose exchange failed.
+func (g *guardian) failure(ctx context.Context, err error, c chivegauge.Call) *chivegauge.Refusal {
+	failed := &connector.Error{}
+	if errors.As(err, &failed) && !failed.Sent {
+		if ctx.Err() == nil {
+			g.mu.Lock()
+			g.downTo = time.Now().Add(downPause)
+			g.mu.Unlock()
+		}
+		return chivegauge.Refuse(chivegauge.CodeNoBackend, "the backend server can't be reached: "+err.Error())
+	}
+	if ctx.Err() != nil && c.Budget(time.Now()) > 0 {
+		return chivegauge.Unknown(chivegauge.CodeCancelled, "cancelled while the request ran")
+	}
+	if ctx.Err() != nil {
+		return chivegauge.Unknown(chivegauge.CodeDeadline, "the deadline passed while the request ran")
+	}
+	return chivegauge.Unknown(chivegauge.CodeOutcomeUnknown, "the backend server broke off: "+err.Error())
+}
+
+// judge returns the answer; one by which the backend server says that it did not run the request becomes a refusal.
+func (g *guardian) judge(a *carrier.Answer, pass gatekeeper.Pass) *carrier.Answer {
+	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(g.names.NotRun) != "" {
+		a.Release()
+		g.gate.Leave(pass, true)
+		refusal := chivegauge.Refuse(chivegauge.CodeBusy, "the backend server did not run the request")
+		if a.Status == http.StatusMisdirectedRequest {
+			refusal = chivegauge.Refuse(chivegauge.CodeNoBackend, "another backend server has the address")
+		}
+		return carrier.Refusal(refusal.WithArrived())
+	}
+	a.OnRelease(func() { g.gate.Leave(pass, a.Status >= http.StatusInternalServerError) })
+	return a
+}
--- /dev/null
+++ b/internal/telemetry/journaler/doc.go
@@ -0,0 +1,3 @@
+// Package journaler writes log lines without ever blocking the node: what
+// its buffer can't hold is dropped and counted.
+package journaler
--- a/refusal.go
+++ b/refusal.go
@@ -50,6 +50,9 @@
 	Message      string
 	RetryAfterMs int `json:",omitempty"`
 
+	// Arrived says that the request reached a backend server, which did not run it.
+	Arrived bool `json:"-"`
+
 	// Elsewhere is the address of the node that would run the request, if another one would.
 	Elsewhere string `json:"-"`
 }
@@ -74,6 +77,12 @@
 	return &r
 }
 
+// WithArrived returns the refusal of a request that a backend server was sent and did not run.
+func (r Refusal) WithArrived() *Refusal {
+	r.Arrived = true
+	return &r
+}
+
 // WithElsewhere returns the refusal with the address of the node that would run the request.
 func (r Refusal) WithElsewhere(address string) *Refusal {
 	r.Elsewhere = address
--- a/route.go
+++ b/route.go
@@ -5,17 +5,31 @@
 	"time"
 )
 
-// Route maps requests by method and path prefix to a service.
+// Route maps requests by host, method and path prefix to a service, or to several by weight.
 type Route struct {
 	Name       string
+	Host       string `json:",omitempty"`
 	Method     string
 	Prefix     string
 	Service    string
+	Split      []ServiceWeight `json:",omitempty"`
 	Importance Importance
 	Idempotent bool
 	Open       bool
 	Internal   bool
 	DeadlineMs int
+
+	// TargetMs is the time within which an answer has its full worth, 0 if not stated.
+	TargetMs int `json:",omitempty"`
+
+	// Attempts is the largest number of backend servers that one request is sent to, 0 if not stated.
+	Attempts int `json:",omitempty"`
+}
+
+// ServiceWeight is a service's part of the requests of a route.
+type ServiceWeight struct {
+	Service string
+	Weight  float64
 }
 
 // Deadline returns the time that a request on the route may take.
--- a/workspace.go
+++ b/workspace.go
@@ -7,6 +7,9 @@
 	Burst         float64
 	Spread        int
 	Keys          []Key
+
+	// Importance goes before that of the route, where it is stated.
+	Importance *Importance `json:",omitempty"`
 }
 
 // Key is a credential of a workspace, kept as a hash.
