--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -14,7 +14,9 @@
 	"github.com/chivegauge/chivegauge/internal/policy/limiter"
 	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/chivegauge/chivegauge/internal/policy/scheduler"
+	"github.com/chivegauge/chivegauge/internal/request/drawer"
 	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
+	"github.com/chivegauge/chivegauge/internal/request/router"
 	"github.com/chivegauge/chivegauge/internal/stream/acceptor"
 	"github.com/chivegauge/chivegauge/internal/stream/connector"
 	"github.com/chivegauge/chivegauge/internal/stream/courier"
@@ -50,6 +52,9 @@
 	// backendKeep is how long an unused connection to a backend server is kept that does not say how long it may be.
 	backendKeep = 2 * time.Second
 
+	// startPart is the part of a burst that there is at a start, when it may have been spent just before.
+	startPart = 0.0
+
 	// queueMax is the number of requests that wait for the backend server, queueTime how long they may.
 	queueMax  = 128
 	queueTime = 150 * time.Millisecond
@@ -110,7 +115,7 @@
 	config   freshener.Freshener
 	members  registrar.Registrar
 	guardian guardian.Guardian
-	rates    *rates
+	drawer   drawer.Drawer
 	callers  acceptor.Acceptor
 	peers    acceptor.Acceptor
 	stopping chan struct{}
@@ -146,6 +151,7 @@
 		RetryFirst: storeRetry,
 		RetryMax:   storeRetryMax,
 	}, stores.Configuration, n.log)
+	t := newTeller()
 	own := registrar.Record{
 		Member: s.Member.WithIncarnation(chivegauge.FirstIncarnation(timekeeper.Now().UnixMilli())),
 	}
@@ -155,10 +161,14 @@
 		YoungPeriod: listYoungPeriod,
 		Young:       listYoung,
 		RetryMax:    storeRetryMax,
-	}, stores.Records, newTeller(), own, n.log)
-	n.rates = newRates(s.FirstStart)
-	n.config.Listen(n.rates.configure)
-	n.members.Listen(n.rates.resize)
+	}, stores.Records, t, own, n.log)
+	initial := startPart
+	if s.FirstStart {
+		initial = 1
+	}
+	n.drawer = drawer.New(timekeeper.Now, n.members, t, initial)
+	n.config.Listen(func(r router.Router) { n.drawer.Configure(r.Workspaces()) })
+	n.members.Listen(n.drawer.Resize)
 }
 
 // serve builds what carries requests.
@@ -185,7 +195,7 @@
 		Names:    s.Names,
 		Config:   n.config,
 		Members:  n.members,
-		Rates:    n.rates,
+		Rates:    n.drawer,
 		Local:    n.guardian,
 		Remote:   remote,
 		Picker:   picker.New(s.Member.Zone, s.Member.Region),
@@ -198,6 +208,8 @@
 	n.callers = acceptor.New(f, n.limits)
 	n.peers = acceptor.New(&peers{
 		records:  n.members,
+		drawer:   n.drawer,
+		ready:    n.Ready,
 		receiver: courier.NewReceiver(s.Names, n.guardian, holdBytes),
 	}, peerLimits)
 }
--- a/internal/app/assembler/peers.go
+++ b/internal/app/assembler/peers.go
@@ -6,37 +6,59 @@
 	"encoding/json"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
+	"github.com/chivegauge/chivegauge/internal/request/drawer"
 	"github.com/chivegauge/chivegauge/internal/stream/carrier"
 	"github.com/chivegauge/chivegauge/internal/stream/connector"
 	"github.com/chivegauge/chivegauge/internal/stream/courier"
 	"github.com/go-faster/errors"
 )
 
-// headerRecord marks a message between nodes that carries a record.
-const headerRecord = chivegauge.HeaderPrefix + "Record"
+// The headers that mark messages between nodes other than requests.
+const (
+	headerRecord = chivegauge.HeaderPrefix + "Record"
+	headerDraw   = chivegauge.HeaderPrefix + "Draw"
+)
 
-// peers answers what other nodes send: records, and requests for the backend server.
+// peers answers what other nodes send: records, draws, and requests for the backend server.
 type peers struct {
 	records  registrar.Registrar
+	drawer   drawer.Drawer
+	ready    func() bool
 	receiver *courier.Receiver
 }
 
-// Handle takes in a record or runs a request.
+// Handle takes in a record, hands out tokens or runs a request.
 func (p *peers) Handle(ctx context.Context, r *carrier.Request) *carrier.Answer {
-	if r.Header.Get(headerRecord) == "" {
+	var err error
+	out := any(struct{}{})
+	switch {
+	case r.Header.Get(headerRecord) != "":
+		err = p.learn(r)
+	case r.Header.Get(headerDraw) != "":
+		out, err = p.give(r)
+	default:
 		return p.receiver.Handle(ctx, r)
 	}
-	if err := p.learn(r); err != nil {
+	if err != nil {
+		return carrier.Refusal(chivegauge.Refuse(chivegauge.CodeNotReady, err.Error()))
+	}
+	return reply(out)
+}
+
+func reply(out any) *carrier.Answer {
+	b, err := json.Marshal(out)
+	if err != nil {
 		return carrier.Refusal(chivegauge.Refuse(chivegauge.CodeBadRequest, err.Error()))
 	}
-	return &carrier.Answer{
-		Status: http.StatusNoContent,
+	a := &carrier.Answer{
+		Status: http.StatusOK,
 		Header: http.Header{},
 	}
+	a.Hold(b)
+	return a
 }
 
 func (p *peers) learn(r *carrier.Request) error {
@@ -45,10 +67,22 @@
 		return errors.Wrap(err, "decode record")
 	}
 	p.records.Learn(rec)
+	p.drawer.Regained(rec.Member.Address)
 	return nil
 }
 
-// teller sends records to other nodes.
+func (p *peers) give(r *carrier.Request) (drawer.Grant, error) {
+	d := drawer.Draw{}
+	if err := json.NewDecoder(r.Body).Decode(&d); err != nil {
+		return drawer.Grant{}, errors.Wrap(err, "decode draw")
+	}
+	if !p.ready() {
+		return drawer.Grant{}, drawer.ErrNotServing
+	}
+	return p.drawer.Give(d), nil
+}
+
+// teller sends records and draws to other nodes.
 type teller struct {
 	mu    sync.Mutex
 	peers map[string]connector.Connector
@@ -69,7 +103,7 @@
 			Address:     address,
 			DialTimeout: dialTimeout,
 			Silence:     peerSilence,
-			KeepFor:     time.Second,
+			KeepFor:     peerKeep,
 			HoldBytes:   holdBytes,
 		})
 		t.peers[address] = p
@@ -79,16 +113,27 @@
 
 // Tell sends the record to the member.
 func (t *teller) Tell(ctx context.Context, m chivegauge.Member, rec registrar.Record) error {
-	b, err := json.Marshal(rec)
+	return t.send(ctx, m, headerRecord, rec, nil)
+}
+
+// Draw asks the member for tokens.
+func (t *teller) Draw(ctx context.Context, m chivegauge.Member, d drawer.Draw) (drawer.Grant, error) {
+	g := drawer.Grant{}
+	return g, t.send(ctx, m, headerDraw, d, &g)
+}
+
+// send sends a message and decodes the answer into out, if there is one.
+func (t *teller) send(ctx context.Context, m chivegauge.Member, mark string, in, out any) error {
+	b, err := json.Marshal(in)
 	if err != nil {
-		return errors.Wrap(err, "encode record")
+		return errors.Wrap(err, "encode message")
 	}
 	a, err := t.peer(m.Address).Exchange(ctx, &carrier.Request{
 		Method: http.MethodPost,
-		Target: "/record",
+		Target: "/",
 		Host:   m.Address,
 		Header: http.Header{
-			headerRecord: {"1"},
+			mark: {"1"},
 		},
 		Body:   bytes.NewReader(b),
 		Length: int64(len(b)),
@@ -96,6 +141,15 @@
 	if err != nil {
 		return err
 	}
-	a.Release()
+	defer a.Release()
+	if a.Status != http.StatusOK {
+		return errors.Errorf("node %s answered with status %d", m.Address, a.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(a.Body).Decode(out); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
 	return nil
 }
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -47,6 +47,8 @@
 	Self() chivegauge.Member
 	// Service returns the nodes beside backend servers of the service.
 	Service(name string) []chivegauge.Member
+	// Alive returns all nodes that are not stopping, this one included.
+	Alive() []chivegauge.Member
 	// Len returns the number of nodes that have not left.
 	Len() int
 	// Former returns the record that an earlier process wrote at this address, and whether there was one.
@@ -68,6 +70,7 @@
 	log    zerolog.Logger
 	listen []func(n int)
 	view   atomic.Pointer[map[string][]chivegauge.Member]
+	alive  atomic.Pointer[[]chivegauge.Member]
 	known  atomic.Bool
 	group  sync.WaitGroup
 	writes sync.Mutex
@@ -115,6 +118,11 @@
 	return (*r.view.Load())[name]
 }
 
+// Alive returns all nodes that are not stopping; the slice must not be changed.
+func (r *registrar) Alive() []chivegauge.Member {
+	return *r.alive.Load()
+}
+
 // Len returns the number of nodes that have not left, this one included.
 func (r *registrar) Len() int {
 	r.mu.Lock()
@@ -220,12 +228,17 @@
 	r.mu.Lock()
 	view := map[string][]chivegauge.Member{}
 	list := r.present()
+	alive := make([]chivegauge.Member, 0, len(list)+1)
 	for _, rec := range append(list, r.own) {
+		if rec.Member.State == chivegauge.Alive {
+			alive = append(alive, rec.Member)
+		}
 		if rec.Member.State == chivegauge.Alive && !rec.Leaving && rec.Instance != "" {
 			view[rec.Member.Service] = append(view[rec.Member.Service], rec.Member)
 		}
 	}
 	r.view.Store(&view)
+	r.alive.Store(&alive)
 	n := len(list) + 1
 	r.mu.Unlock()
 	for _, f := range r.listen {
--- a/internal/policy/divider/divider.go
+++ b/internal/policy/divider/divider.go
@@ -6,12 +6,14 @@
 	"github.com/chivegauge/chivegauge"
 )
 
-// Divider holds a token bucket for each workspace; it is not safe for concurrent use.
+// Divider holds a token bucket for a part of each workspace's rate; it is not safe for concurrent use.
 type Divider interface {
-	// Configure sets the rates, of which this node has one part in parts, at least 1.
-	Configure(now time.Time, list []chivegauge.Workspace, parts int)
-	// Take spends a token of the workspace, or returns how long it is until there is one.
-	Take(now time.Time, workspace string) (ok bool, wait time.Duration)
+	// Configure sets the rates, of which the buckets get the part, above 0 and at most 1.
+	Configure(now time.Time, list []chivegauge.Workspace, part float64)
+	// Limited reports whether the workspace has a rate at all.
+	Limited(workspace string) bool
+	// Take spends up to want tokens and returns how many, and how long it is until there is another.
+	Take(now time.Time, workspace string, want int) (taken int, wait time.Duration)
 }
 
 // forever is the wait where no token will come.
@@ -38,14 +40,14 @@
 }
 
 // Configure sets the rates; what a bucket holds is kept up to its new burst.
-func (d *divider) Configure(now time.Time, list []chivegauge.Workspace, parts int) {
+func (d *divider) Configure(now time.Time, list []chivegauge.Workspace, part float64) {
 	buckets := make(map[string]*bucket, len(list))
 	for _, w := range list {
 		if w.RatePerSecond <= 0 {
 			continue
 		}
 		b := d.buckets[w.Name]
-		burst := max(1, w.Burst/float64(parts))
+		burst := max(1, w.Burst*part)
 		if b == nil {
 			b = &bucket{
 				level: d.initial * burst,
@@ -53,7 +55,7 @@
 			}
 		}
 		b.fill(now)
-		b.rate = w.RatePerSecond / float64(parts)
+		b.rate = w.RatePerSecond * part
 		b.burst = burst
 		b.level = min(b.level, burst)
 		buckets[w.Name] = b
@@ -68,19 +70,22 @@
 	}
 }
 
-// Take spends a token; a workspace without a rate has no limit.
-func (d *divider) Take(now time.Time, workspace string) (bool, time.Duration) {
+// Limited reports whether the workspace has a rate.
+func (d *divider) Limited(workspace string) bool {
+	return d.buckets[workspace] != nil
+}
+
+// Take spends tokens; a workspace without a rate has no limit.
+func (d *divider) Take(now time.Time, workspace string, want int) (int, time.Duration) {
 	b := d.buckets[workspace]
 	if b == nil {
-		return true, 0
+		return want, 0
 	}
 	b.fill(now)
-	if b.level >= 1 {
-		b.level--
-		return true, 0
-	}
+	taken := min(want, int(b.level))
+	b.level -= float64(taken)
 	if b.rate <= 0 {
-		return false, forever
+		return taken, forever
 	}
-	return false, time.Duration((1 - b.level) / b.rate * float64(time.Second))
+	return taken, time.Duration(max(0, 1-b.level) / b.rate * float64(time.Second))
 }
--- /dev/null
+++ b/internal/request/drawer/drawer.go
@@ -0,0 +1,332 @@
+package drawer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/policy/divider"
+	"github.com/go-faster/errors"
+)
+
+const (
+	// ownPart is the part of a rate that is dealt out to all nodes evenly and needs no draw.
+	ownPart = 0.1
+
+	// selfParts bounds what a node that hands out tokens gives itself to so many even parts: one that is cut off
+	// from all others serves its own callers alone, while another node hands out in its place.
+	selfParts = 2.5
+
+	// drawTimeout bounds a draw; it covers a new connection between two zones.
+	drawTimeout = 300 * time.Millisecond
+
+	// waitMax is how long a request waits for a token that is about to come.
+	waitMax = 80 * time.Millisecond
+
+	// lostFirst and lostMax bound the time for which a node that did not answer is passed over.
+	lostFirst = time.Second
+	lostMax   = 16 * time.Second
+
+	// triesMax is the number of nodes that one draw asks.
+	triesMax = 2
+)
+
+// ErrNotServing is returned by a node that does not hand out tokens.
+var ErrNotServing = errors.New("the node does not hand out tokens")
+
+// Draw asks for tokens.
+type Draw struct {
+	Workspace string
+	Want      int
+}
+
+// Grant is the answer to a draw; Wait is the time until there is another token.
+type Grant struct {
+	Granted int
+	Wait    time.Duration
+}
+
+// Members are the nodes that are alive.
+type Members interface {
+	Self() chivegauge.Member
+	Alive() []chivegauge.Member
+}
+
+// Asker sends draws to other nodes.
+type Asker interface {
+	Draw(ctx context.Context, m chivegauge.Member, d Draw) (Grant, error)
+}
+
+// Drawer spends tokens of workspaces and hands out those that this node keeps.
+type Drawer interface {
+	// Configure sets the workspaces.
+	Configure(list []chivegauge.Workspace)
+	// Resize sets the number of nodes.
+	Resize(nodes int)
+	// Take spends a token for a request, or returns how long it is until there is one.
+	Take(ctx context.Context, workspace string) (ok bool, wait time.Duration)
+	// Give hands out tokens to another node.
+	Give(d Draw) Grant
+	// Regained takes in that a node has spoken again.
+	Regained(address string)
+}
+
+// loss is a node that did not answer.
+type loss struct {
+	until time.Time
+	pause time.Duration
+}
+
+type drawer struct {
+	now     func() time.Time
+	members Members
+	asker   Asker
+	group   sync.WaitGroup
+
+	mu         sync.Mutex
+	workspaces []chivegauge.Workspace
+	nodes      int
+	own        divider.Divider
+	kept       divider.Divider
+	self       divider.Divider
+	lines      map[string]*line
+	lost       map[string]loss
+}
+
+// line is the requests of one workspace that wait for tokens.
+type line struct {
+	waiting []chan result
+	drawing bool
+	dryTo   time.Time
+}
+
+type result struct {
+	ok   bool
+	wait time.Duration
+}
+
+// New returns a drawer; initial is the part of each burst that there is at the start, from 0 to 1.
+func New(now func() time.Time, m Members, a Asker, initial float64) Drawer {
+	return &drawer{
+		now:     now,
+		members: m,
+		asker:   a,
+		nodes:   1,
+		own:     divider.New(initial),
+		kept:    divider.New(initial),
+		self:    divider.New(initial),
+		lines:   map[string]*line{},
+		lost:    map[string]loss{},
+	}
+}
+
+// Configure sets the workspaces.
+func (d *drawer) Configure(list []chivegauge.Workspace) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.workspaces = list
+	d.divide()
+}
+
+// Resize sets the number of nodes.
+func (d *drawer) Resize(nodes int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if nodes != d.nodes {
+		d.nodes = max(1, nodes)
+		d.divide()
+	}
+}
+
+func (d *drawer) divide() {
+	now := d.now()
+	even := 1 / float64(d.nodes)
+	d.own.Configure(now, d.workspaces, ownPart*even)
+	d.kept.Configure(now, d.workspaces, 1-ownPart)
+	d.self.Configure(now, d.workspaces, min(1, selfParts*even))
+}
+
+// Take spends a token of the node's own part, or draws one.
+func (d *drawer) Take(ctx context.Context, workspace string) (bool, time.Duration) {
+	ch, r := d.join(ctx, workspace)
+	if ch == nil {
+		return r.ok, r.wait
+	}
+	select {
+	case r = <-ch:
+	case <-ctx.Done():
+	}
+	return r.ok, r.wait
+}
+
+// join decides at once, or puts the request in line and sees that tokens are drawn for it.
+func (d *drawer) join(ctx context.Context, workspace string) (chan result, result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	if taken, _ := d.own.Take(now, workspace, 1); taken > 0 {
+		return nil, result{
+			ok: true,
+		}
+	}
+	l := d.lines[workspace]
+	if l == nil {
+		l = &line{}
+		d.lines[workspace] = l
+	}
+	if now.Before(l.dryTo) {
+		return nil, result{
+			wait: l.dryTo.Sub(now),
+		}
+	}
+	ch := make(chan result, 1)
+	l.waiting = append(l.waiting, ch)
+	if !l.drawing {
+		l.drawing = true
+		d.group.Go(func() { d.serve(context.WithoutCancel(ctx), workspace, l) })
+	}
+	return ch, result{}
+}
+
+// serve draws until nobody waits.
+func (d *drawer) serve(ctx context.Context, workspace string, l *line) {
+	for {
+		d.mu.Lock()
+		want := len(l.waiting)
+		if want == 0 {
+			l.drawing = false
+			d.mu.Unlock()
+			return
+		}
+		d.mu.Unlock()
+		g, ok := d.draw(ctx, Draw{
+			Workspace: workspace,
+			Want:      want,
+		})
+		if d.settle(l, g) || !ok || g.Wait > waitMax {
+			d.refuse(l, want-g.Granted, g.Wait)
+			continue
+		}
+		time.Sleep(g.Wait)
+	}
+}
+
+// settle gives the granted tokens to those who wait longest, and reports whether nobody is left.
+func (d *drawer) settle(l *line, g Grant) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := min(g.Granted, len(l.waiting))
+	for _, ch := range l.waiting[:n] {
+		ch <- result{
+			ok: true,
+		}
+	}
+	l.waiting = l.waiting[n:]
+	return len(l.waiting) == 0
+}
+
+// refuse sends away the first n that wait.
+func (d *drawer) refuse(l *line, n int, wait time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n <= 0 {
+		return
+	}
+	l.dryTo = d.now().Add(min(wait, waitMax))
+	n = min(n, len(l.waiting))
+	for _, ch := range l.waiting[:n] {
+		ch <- result{
+			wait: wait,
+		}
+	}
+	l.waiting = l.waiting[n:]
+}
+
+// draw asks the node that hands out the tokens of the workspace, or the next one if it does not answer.
+func (d *drawer) draw(ctx context.Context, w Draw) (Grant, bool) {
+	for range triesMax {
+		m := d.keeper(w.Workspace)
+		if m.Address == d.members.Self().Address {
+			return d.giveSelf(w), true
+		}
+		callCtx, cancel := context.WithTimeout(ctx, drawTimeout)
+		g, err := d.asker.Draw(callCtx, m, w)
+		cancel()
+		if err == nil {
+			return g, true
+		}
+		d.miss(m.Address)
+	}
+	return Grant{
+		Wait: lostFirst,
+	}, false
+}
+
+// keeper returns the node that hands out the tokens of the workspace, as this node sees it.
+func (d *drawer) keeper(workspace string) chivegauge.Member {
+	alive := d.members.Alive()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	best := d.members.Self()
+	weight := weigh(best.Address, workspace)
+	for _, m := range alive {
+		if now.Before(d.lost[m.Address].until) {
+			continue
+		}
+		if w := weigh(m.Address, workspace); w > weight {
+			best = m
+			weight = w
+		}
+	}
+	return best
+}
+
+func weigh(address, workspace string) uint64 {
+	return xxhash.Sum64String(address + "|" + workspace)
+}
+
+// miss passes a node over for a while that did not answer.
+func (d *drawer) miss(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pause := min(lostMax, max(lostFirst, 2*d.lost[address].pause))
+	d.lost[address] = loss{
+		until: d.now().Add(pause),
+		pause: pause,
+	}
+}
+
+// Regained ends the time for which a node is passed over.
+func (d *drawer) Regained(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.lost, address)
+}
+
+// Give hands out tokens to another node.
+func (d *drawer) Give(w Draw) Grant {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	granted, wait := d.kept.Take(d.now(), w.Workspace, w.Want)
+	return Grant{
+		Granted: granted,
+		Wait:    wait,
+	}
+}
+
+// giveSelf hands out tokens to this node, within its bound.
+func (d *drawer) giveSelf(w Draw) Grant {
+	d.mu.Lock()
+	allowed, wait := d.self.Take(d.now(), w.Workspace, w.Want)
+	d.mu.Unlock()
+	if allowed == 0 {
+		return Grant{
+			Wait: wait,
+		}
+	}
+	w.Want = allowed
+	return d.Give(w)
+}
--- a/internal/stream/forwarder/admit.go
+++ b/internal/stream/forwarder/admit.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"strconv"
 	"strings"
 	"time"
@@ -11,7 +12,7 @@
 )
 
 // admit makes the call of a request, or refuses it before anything is sent.
-func (f *forwarder) admit(r *carrier.Request) (chivegauge.Call, *chivegauge.Refusal) {
+func (f *forwarder) admit(ctx context.Context, r *carrier.Request) (chivegauge.Call, *chivegauge.Refusal) {
 	c := chivegauge.Call{
 		RequestID: r.Header.Get(f.Names.Attempt),
 		Caller:    f.Members.Self().Service,
@@ -30,7 +31,7 @@
 	c.Idempotent = route.Idempotent
 	c.Importance = route.Importance
 	c.Deadline = r.Arrived.Add(f.budget(r, route))
-	if refusal := f.authorize(&c, r, route, cfg); refusal != nil {
+	if refusal := f.authorize(ctx, &c, r, route, cfg); refusal != nil {
 		return c, refusal
 	}
 	c.Service = f.service(route)
@@ -51,7 +52,7 @@
 }
 
 // authorize sets the workspace of the call by its key and charges it.
-func (f *forwarder) authorize(c *chivegauge.Call, r *carrier.Request, route chivegauge.Route, cfg router.Router) *chivegauge.Refusal {
+func (f *forwarder) authorize(ctx context.Context, c *chivegauge.Call, r *carrier.Request, route chivegauge.Route, cfg router.Router) *chivegauge.Refusal {
 	key := f.key(r)
 	if key == "" && (route.Open || len(cfg.Workspaces()) == 0) {
 		return nil
@@ -70,7 +71,7 @@
 	if w.Importance != nil {
 		c.Importance = *w.Importance
 	}
-	if ok, wait := f.Rates.Take(time.Now(), w.Name); !ok {
+	if ok, wait := f.Rates.Take(ctx, w.Name); !ok {
 		return chivegauge.Refuse(chivegauge.CodeRateExceeded, "the workspace is above its rate").WithRetryAfter(millis(wait))
 	}
 	return nil
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -43,7 +43,7 @@
 
 // Rates spends the tokens of workspaces.
 type Rates interface {
-	Take(now time.Time, workspace string) (ok bool, wait time.Duration)
+	Take(ctx context.Context, workspace string) (ok bool, wait time.Duration)
 }
 
 // Executor runs requests on the backend server beside the node.
@@ -100,7 +100,7 @@
 
 // Handle admits the request, sends it and answers for the outcome.
 func (f *forwarder) Handle(ctx context.Context, r *carrier.Request) *carrier.Answer {
-	call, refusal := f.admit(r)
+	call, refusal := f.admit(ctx, r)
 	if refusal != nil {
 		return f.conclude(call, r, carrier.Refusal(refusal))
 	}
