--- /dev/null
+++ b/internal/stream/connector/connector_test.go
@@ -0,0 +1,241 @@
+package connector_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge/internal/stream/carrier"
+	"github.com/chivegauge/chivegauge/internal/stream/connector"
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+const (
+	attempt  = "Attempt"
+	patience = 10 * time.Second
+)
+
+// backend serves each connection by the function and counts the requests read.
+type backend struct {
+	address string
+	mu      sync.Mutex
+	reads   int
+}
+
+func start(t *testing.T, serve func(n int, r *http.Request, nc net.Conn) (keep bool)) *backend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{
+		address: l.Addr().String(),
+	}
+	group := sync.WaitGroup{}
+	group.Go(func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() { b.serve(nc, serve) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		group.Wait()
+	})
+	return b
+}
+
+func (b *backend) serve(nc net.Conn, serve func(n int, r *http.Request, nc net.Conn) bool) {
+	defer func() { _ = nc.Close() }()
+	_ = nc.SetDeadline(time.Now().Add(patience))
+	br := bufio.NewReader(nc)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.reads++
+		n := b.reads
+		b.mu.Unlock()
+		if !serve(n, r, nc) {
+			return
+		}
+	}
+}
+
+func connect(t *testing.T, b *backend) connector.Connector {
+	c := connector.New(connector.Config{
+		Address:     b.address,
+		DialTimeout: patience,
+		KeepFor:     patience,
+		Attempt:     attempt,
+		HoldBytes:   1000,
+	})
+	t.Cleanup(c.Drop)
+	return c
+}
+
+func request(id string) *carrier.Request {
+	return &carrier.Request{
+		Method: http.MethodPost,
+		Target: "/x",
+		Host:   "a",
+		Header: http.Header{
+			attempt: {id},
+		},
+		Body:   bytes.NewReader([]byte("body")),
+		Length: 4,
+	}
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nAttempt: " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n"
+}
+
+func chunk(s string) string {
+	return strings.ToUpper(string("0123456789abcdef"[len(s)])) + "\r\n" + s + "\r\n"
+}
+
+// TestAnswers states which answers belong to a request, and what a failed exchange says of the run.
+func TestAnswers(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		body   string
+		fails  bool
+	}{
+		"own":              {answer: answer("1", "mine"), body: "mine"},
+		"foreign first":    {answer: answer("0", "theirs") + answer("1", "mine"), body: "mine"},
+		"interim first":    {answer: "HTTP/1.1 102 Processing\r\n\r\n" + answer("1", "mine"), body: "mine"},
+		"no ID":            {answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", fails: true},
+		"refusal no ID":    {answer: "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nhi", body: "hi"},
+		"ends early":       {answer: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 10\r\n\r\nhi", fails: true},
+		"chunk ends early": {answer: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("hi"), fails: true},
+		"not HTTP":         {answer: "\x00\x01garbage\r\n\r\n", fails: true},
+		"nothing":          {answer: "", fails: true},
+		"ends with itself": {answer: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nConnection: close\r\n\r\nall of it", body: "all of it"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := start(t, func(_ int, r *http.Request, nc net.Conn) bool {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(nc, tt.answer)
+				return false
+			})
+			a, err := connect(t, b).Exchange(context.Background(), request("1"))
+			if tt.fails {
+				failed := &connector.Error{}
+				is.True(errors.As(err, &failed))
+				is.True(failed.Sent)
+				is.Equal(b.reads, 1) // nothing is sent twice
+				return
+			}
+			is.NoErr(err)
+			got, err := io.ReadAll(a.Body)
+			is.NoErr(err)
+			is.Equal(string(got), tt.body)
+		})
+	}
+}
+
+// TestKeptConnection states that a connection is used again, and not after it was closed or something arrived on it.
+func TestKeptConnection(t *testing.T) {
+	tests := map[string]struct {
+		extra string
+		keep  bool
+		dials uint64
+	}{
+		"used again": {keep: true, dials: 1},
+		"closed":     {keep: false, dials: 2},
+		"extra":      {extra: answer("0", "theirs"), keep: true, dials: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := start(t, func(n int, r *http.Request, nc net.Conn) bool {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(nc, answer(r.Header.Get(attempt), "ok")+tt.extra)
+				return tt.keep
+			})
+			c := connect(t, b)
+			for _, id := range []string{"1", "2"} {
+				a, err := c.Exchange(context.Background(), request(id))
+				is.NoErr(err)
+				is.Equal(a.Header.Get(attempt), id)
+				time.Sleep(20 * time.Millisecond) // lets the end or the extra bytes arrive
+			}
+			is.Equal(c.Dials(), tt.dials)
+		})
+	}
+}
+
+// TestUnsent states that an exchange without a connection says that nothing was sent.
+func TestUnsent(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	c := connector.New(connector.Config{
+		Address:     l.Addr().String(),
+		DialTimeout: patience,
+	})
+	_, err = c.Exchange(context.Background(), request("1"))
+	failed := &connector.Error{}
+	is.True(errors.As(err, &failed))
+	is.True(!failed.Sent)
+}
+
+// TestCancelled states that the connection ends with its context, so that the backend server stops.
+func TestCancelled(t *testing.T) {
+	is := is.New(t)
+	left := make(chan struct{})
+	b := start(t, func(_ int, r *http.Request, nc net.Conn) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = nc.Read(make([]byte, 1))
+		close(left)
+		return false
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := connect(t, b).Exchange(ctx, request("1"))
+	is.True(err != nil)
+	select {
+	case <-left:
+	case <-time.After(patience):
+		t.Error("the connection stayed open")
+	}
+}
+
+// TestEarlyAnswer states that a connection is not kept on which a body was not sent to its end.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	b := start(t, func(_ int, r *http.Request, nc net.Conn) bool {
+		_, _ = io.WriteString(nc, answer(r.Header.Get(attempt), "early"))
+		_, _ = io.Copy(io.Discard, r.Body)
+		return true
+	})
+	c := connect(t, b)
+	body, w := io.Pipe()
+	r := request("1")
+	r.Body = body
+	r.Length = 100000
+	a, err := c.Exchange(context.Background(), r)
+	is.NoErr(err)
+	is.Equal(a.Status, http.StatusOK)
+	is.NoErr(w.Close())
+	_, err = c.Exchange(context.Background(), request("2"))
+	is.NoErr(err)
+	is.Equal(c.Dials(), uint64(2))
+}
