--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -291,7 +291,7 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			n.stop(inner)
+			n.stop(inner, callers)
 		case <-inner.Done():
 		}
 		_ = callers.Close()
--- a/internal/app/assembler/reports.go
+++ b/internal/app/assembler/reports.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
 	"github.com/chivegauge/chivegauge/internal/stream/guardian"
 )
@@ -51,41 +50,3 @@
 		n.log.Warn().Err(err).Str("Instance", r.Instance).Bool("Leaving", r.Leaving).Msg("record not written; this node alone holds to it")
 	}
 }
-
-const (
-	// stopPoll is how often a stopping node looks whether all requests have ended.
-	stopPoll = 50 * time.Millisecond
-
-	// stopQuiet is how long a stopping node goes on serving, so that callers find out by asking whether it is ready.
-	stopQuiet = 2500 * time.Millisecond
-
-	// stopMargin is kept free at the end of the time to stop.
-	stopMargin = 400 * time.Millisecond
-)
-
-// stop tells the other nodes first, serves on until callers have gone elsewhere, and waits for what runs.
-func (n *node) stop(ctx context.Context) {
-	began := time.Now()
-	close(n.stopping)
-	n.log.Info().Int("Running", n.callers.Running()+n.peers.Running()).Msg("node stopping")
-	n.callers.Drain()
-	if err := n.members.Change(ctx, func(rec registrar.Record) registrar.Record { return rec.WithState(chivegauge.Draining) }); err != nil {
-		n.log.Warn().Err(err).Msg("record not written while stopping")
-	}
-	end := began.Add(n.settings.StopTime - stopMargin)
-	for time.Now().Before(end) {
-		if time.Since(began) > stopQuiet {
-			n.callers.CloseIdle()
-			if n.callers.Running() == 0 && n.peers.Running() == 0 {
-				break
-			}
-		}
-		time.Sleep(stopPoll)
-	}
-	if r, ok := n.guardian.Current(); ok && r.Leaving {
-		if err := n.members.Withdraw(ctx); err != nil {
-			n.log.Warn().Err(err).Msg("record not withdrawn")
-		}
-	}
-	n.log.Info().Int("Running", n.callers.Running()+n.peers.Running()).Dur("TookMs", time.Since(began)).Msg("node stopped")
-}
--- /dev/null
+++ b/internal/app/assembler/stop.go
@@ -0,0 +1,68 @@
+package assembler
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
+)
+
+const (
+	// stopPoll is how often a stopping node looks whether all requests have ended.
+	stopPoll = 50 * time.Millisecond
+
+	// stopQuiet is how long a stopping node takes new connections: callers ask once a second whether it is ready
+	// and go elsewhere after two refusals.
+	stopQuiet = 2500 * time.Millisecond
+
+	// stopMargin is the end of the time to stop, in which the record is withdrawn and the process ends.
+	stopMargin = time.Second
+
+	// withdrawTime bounds the withdrawal of the record.
+	withdrawTime = 500 * time.Millisecond
+)
+
+// stop tells the other nodes first, serves on until callers have gone elsewhere, and waits for what runs.
+func (n *node) stop(ctx context.Context, callers net.Listener) {
+	began := time.Now()
+	close(n.stopping)
+	n.log.Info().Int("Running", n.running()).Msg("node stopping")
+	n.callers.Drain()
+	n.tellStopping(ctx)
+	quiet := min(stopQuiet, n.settings.StopTime/2)
+	time.Sleep(time.Until(began.Add(quiet)))
+	_ = callers.Close()
+	end := began.Add(n.settings.StopTime - stopMargin)
+	for n.callers.CloseIdle(); n.running() > 0 && time.Now().Before(end); n.callers.CloseIdle() {
+		time.Sleep(stopPoll)
+	}
+	n.withdraw(ctx)
+	n.log.Info().Int("Running", n.running()).Dur("TookMs", time.Since(began)).Msg("node stopped")
+}
+
+func (n *node) running() int {
+	return n.callers.Running() + n.peers.Running()
+}
+
+// tellStopping tells the other nodes without waiting longer for the store than for them.
+func (n *node) tellStopping(ctx context.Context) {
+	err := n.members.Change(ctx, func(rec registrar.Record) registrar.Record { return rec.WithState(chivegauge.Draining) })
+	if err != nil {
+		n.log.Warn().Err(err).Msg("record not written while stopping")
+	}
+}
+
+// withdraw removes the record of a node whose backend server has left for good.
+func (n *node) withdraw(ctx context.Context) {
+	r, ok := n.guardian.Current()
+	if !ok || !r.Leaving {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, withdrawTime)
+	defer cancel()
+	if err := n.members.Withdraw(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("record not withdrawn")
+	}
+}
--- a/internal/request/drawer/drawer.go
+++ b/internal/request/drawer/drawer.go
@@ -23,7 +23,7 @@
 	drawTimeout = 300 * time.Millisecond
 
 	// waitMax is how long a request waits for a token that is about to come.
-	waitMax = 80 * time.Millisecond
+	waitMax = 40 * time.Millisecond
 
 	// lostFirst and lostMax bound the time for which a node that did not answer is passed over.
 	lostFirst = time.Second
@@ -97,11 +97,17 @@
 
 // line is the requests of one workspace that wait for tokens.
 type line struct {
-	waiting []chan result
+	waiting []waiter
 	drawing bool
 	dryTo   time.Time
 }
 
+// waiter is a request that waits for a token since it came.
+type waiter struct {
+	since time.Time
+	done  chan result
+}
+
 type result struct {
 	ok   bool
 	wait time.Duration
@@ -182,7 +188,10 @@
 		}
 	}
 	ch := make(chan result, 1)
-	l.waiting = append(l.waiting, ch)
+	l.waiting = append(l.waiting, waiter{
+		since: now,
+		done:  ch,
+	})
 	if !l.drawing {
 		l.drawing = true
 		d.group.Go(func() { d.serve(context.WithoutCancel(ctx), workspace, l) })
@@ -201,67 +210,61 @@
 			return
 		}
 		d.mu.Unlock()
-		g, ok := d.draw(ctx, Draw{
+		g := d.draw(ctx, Draw{
 			Workspace: workspace,
 			Want:      want,
 		})
-		if d.settle(l, g) || !ok || g.Wait > waitMax {
-			d.refuse(l, want-g.Granted, g.Wait)
-			continue
+		if d.settle(l, g) {
+			time.Sleep(g.Wait)
 		}
-		time.Sleep(g.Wait)
 	}
 }
 
-// settle gives the granted tokens to those who wait longest, and reports whether nobody is left.
+// settle gives the granted tokens to those who wait longest, sends those away who would wait too long, and
+// reports whether anybody is left.
 func (d *drawer) settle(l *line, g Grant) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.now()
 	n := min(g.Granted, len(l.waiting))
-	for _, ch := range l.waiting[:n] {
-		ch <- result{
+	for _, w := range l.waiting[:n] {
+		w.done <- result{
 			ok: true,
 		}
 	}
-	l.waiting = l.waiting[n:]
-	return len(l.waiting) == 0
-}
-
-// refuse sends away the first n that wait.
-func (d *drawer) refuse(l *line, n int, wait time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if n <= 0 {
-		return
-	}
-	l.dryTo = d.now().Add(min(wait, waitMax))
-	n = min(n, len(l.waiting))
-	for _, ch := range l.waiting[:n] {
-		ch <- result{
-			wait: wait,
+	left := l.waiting[n:]
+	l.waiting = nil
+	for _, w := range left {
+		if now.Add(g.Wait).Sub(w.since) <= waitMax {
+			l.waiting = append(l.waiting, w)
+			continue
+		}
+		l.dryTo = now.Add(min(g.Wait, waitMax))
+		w.done <- result{
+			wait: g.Wait,
 		}
 	}
-	l.waiting = l.waiting[n:]
+	return len(l.waiting) > 0
 }
 
 // draw asks the node that hands out the tokens of the workspace, or the next one if it does not answer.
-func (d *drawer) draw(ctx context.Context, w Draw) (Grant, bool) {
+func (d *drawer) draw(ctx context.Context, w Draw) Grant {
 	for range triesMax {
 		m := d.keeper(w.Workspace)
 		if m.Address == d.members.Self().Address {
-			return d.giveSelf(w), true
+			return d.giveSelf(w)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, drawTimeout)
 		g, err := d.asker.Draw(callCtx, m, w)
 		cancel()
 		if err == nil {
-			return g, true
+			return g
 		}
 		d.miss(m.Address)
 	}
 	return Grant{
 		Wait: lostFirst,
-	}, false
+	}
 }
 
 // keeper returns the node that hands out the tokens of the workspace, as this node sees it.
--- /dev/null
+++ b/internal/request/drawer/drawer_test.go
@@ -0,0 +1,142 @@
+package drawer_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/request/drawer"
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+// fleet is nodes that draw from each other; a node that is cut off reaches none.
+type fleet struct {
+	members []chivegauge.Member
+	nodes   map[string]drawer.Drawer
+	cut     sync.Map
+}
+
+// seat is the fleet as one node sees it.
+type seat struct {
+	*fleet
+	self chivegauge.Member
+}
+
+func (s seat) Self() chivegauge.Member    { return s.self }
+func (s seat) Alive() []chivegauge.Member { return s.members }
+
+func (s seat) Draw(_ context.Context, m chivegauge.Member, d drawer.Draw) (drawer.Grant, error) {
+	if _, cut := s.cut.Load(m.Address); cut {
+		return drawer.Grant{}, errors.New("cut off")
+	}
+	if _, cut := s.cut.Load(s.self.Address); cut {
+		return drawer.Grant{}, errors.New("cut off")
+	}
+	return s.nodes[m.Address].Give(d), nil
+}
+
+func newFleet(names string, initial float64, list []chivegauge.Workspace) *fleet {
+	f := &fleet{
+		nodes: map[string]drawer.Drawer{},
+	}
+	for _, r := range names {
+		f.members = append(f.members, chivegauge.Member{
+			Address: string(r),
+		})
+	}
+	for _, m := range f.members {
+		s := seat{
+			fleet: f,
+			self:  m,
+		}
+		d := drawer.New(time.Now, s, s, initial)
+		d.Resize(len(f.members))
+		d.Configure(list)
+		f.nodes[m.Address] = d
+	}
+	return f
+}
+
+const (
+	rate  = 200.0
+	burst = 20.0
+)
+
+func golf() []chivegauge.Workspace {
+	return []chivegauge.Workspace{{
+		Name:          "golf",
+		RatePerSecond: rate,
+		Burst:         burst,
+	}}
+}
+
+// press takes tokens at each node as fast as they come, and returns how many there were and whether one was refused late.
+func (f *fleet) press(length time.Duration) (taken int64, late bool) {
+	count := atomic.Int64{}
+	slow := atomic.Bool{}
+	group := sync.WaitGroup{}
+	end := time.Now().Add(length)
+	for _, d := range f.nodes {
+		for range 4 {
+			group.Go(func() {
+				for time.Now().Before(end) {
+					began := time.Now()
+					ok, _ := d.Take(context.Background(), "golf")
+					if ok {
+						count.Add(1)
+						continue
+					}
+					slow.CompareAndSwap(false, time.Since(began) > 5*time.Second)
+					time.Sleep(time.Millisecond)
+				}
+			})
+		}
+	}
+	group.Wait()
+	return count.Load(), slow.Load()
+}
+
+// TestSumStaysBelowRate states that all nodes together get no more than rate and burst, and that nobody waits for ever.
+func TestSumStaysBelowRate(t *testing.T) {
+	tests := map[string]string{
+		"all reach each other": "",
+		"one is cut off":       "a",
+		"two are cut off":      "bc",
+	}
+	for name, cut := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet("abcdefghijklmnopq", 1, golf())
+			for _, r := range cut {
+				f.cut.Store(string(r), true)
+			}
+			began := time.Now()
+			taken, late := f.press(time.Second)
+			// A node that is cut off may give itself 2.5 even parts; each bucket holds one token at least.
+			apart := float64(len(cut)) * 2.5 / 17
+			floors := float64(len(f.nodes) * 2)
+			is.True(float64(taken) <= (rate*time.Since(began).Seconds()+burst)*(1+apart)+floors)
+			is.True(taken > 0)
+			is.True(!late)
+		})
+	}
+}
+
+// TestStartsEmpty states that nodes which start after others may have spent the burst do not have it again.
+func TestStartsEmpty(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("abc", 0, []chivegauge.Workspace{{
+		Name:          "golf",
+		RatePerSecond: 0.001,
+		Burst:         1000,
+	}})
+	for _, d := range f.nodes {
+		ok, wait := d.Take(context.Background(), "golf")
+		is.True(!ok)
+		is.True(wait > 0)
+	}
+}
