One reader a zone proves the configuration for the others; bound retries in each window over all nodes; test the guardian

Now one node a zone waits at the store and the others ask it; a proof's age counts from when it was asked for, through any chain.

--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -67,9 +67,15 @@
 
 	// watchPart and watchSlack are the parts of the lifetime of a key for which one call waits and may be late, so that
 	// two calls in a row can fail before the proof is too old.
-	watchPart  = 0.3
+	watchPart  = 0.2
 	watchSlack = 0.14
 
+	// askPart is the part of the lifetime of a key for which another node may wait with its proof, askAgePart the oldest
+	// proof that is taken from it, askTimeout how late it may be.
+	askPart    = 0.14
+	askAgePart = 0.5
+	askTimeout = 300 * time.Millisecond
+
 	storeTimeout  = 700 * time.Millisecond
 	storeRetry    = 100 * time.Millisecond
 	storeRetryMax = 800 * time.Millisecond
@@ -145,12 +151,6 @@
 // store builds what follows the stores.
 func (n *node) store(stores Stores) {
 	s := n.settings
-	n.config = freshener.New(freshener.Config{
-		Wait:       time.Duration(watchPart * float64(s.KeyLifetime)),
-		Timeout:    time.Duration(watchSlack * float64(s.KeyLifetime)),
-		RetryFirst: storeRetry,
-		RetryMax:   storeRetryMax,
-	}, stores.Configuration, n.log)
 	t := newTeller()
 	own := registrar.Record{
 		Member: s.Member.WithIncarnation(chivegauge.FirstIncarnation(timekeeper.Now().UnixMilli())),
@@ -162,6 +162,15 @@
 		Young:       listYoung,
 		RetryMax:    storeRetryMax,
 	}, stores.Records, t, own, n.log)
+	n.config = freshener.New(freshener.Config{
+		Wait:       part(s.KeyLifetime, watchPart),
+		Timeout:    part(s.KeyLifetime, watchSlack),
+		RetryFirst: storeRetry,
+		RetryMax:   storeRetryMax,
+		AskWait:    part(s.KeyLifetime, askPart),
+		AskTimeout: askTimeout,
+		AskAge:     part(s.KeyLifetime, askAgePart),
+	}, stores.Configuration, n.members, t, n.log)
 	initial := startPart
 	if s.FirstStart {
 		initial = 1
@@ -199,23 +208,28 @@
 		Local:    n.guardian,
 		Remote:   remote,
 		Picker:   picker.New(s.Member.Zone, s.Member.Region),
-		Budget:   budgeter.New(s.RetryRatio/callDepth, max(1, s.RetrySlack/float64(2*expectedNodes))),
+		Budget:   budgeter.NewWindow(s.RetryRatio/callDepth, 0, s.RetryWindow),
 		Meter:    n.meter,
 		Log:      n.log,
 		HoldMax:  holdBytes,
 		ProofMax: s.KeyLifetime - proofMargin,
+
+		RetrySlack: s.RetrySlack / callDepth,
 	})
+	n.members.Listen(f.Resize)
 	n.callers = acceptor.New(f, n.limits)
 	n.peers = acceptor.New(&peers{
 		records:  n.members,
 		drawer:   n.drawer,
+		config:   n.config,
 		ready:    n.Ready,
 		receiver: courier.NewReceiver(s.Names, n.guardian, holdBytes),
 	}, peerLimits)
 }
 
-// expectedNodes is the number of nodes over which the slack of the retry budget is spread.
-const expectedNodes = 20
+func part(d time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(d))
+}
 
 func (n *node) limits() acceptor.Limits {
 	l := peerLimits()
--- a/internal/app/assembler/peers.go
+++ b/internal/app/assembler/peers.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/freshener"
 	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
 	"github.com/chivegauge/chivegauge/internal/request/drawer"
 	"github.com/chivegauge/chivegauge/internal/stream/carrier"
@@ -20,12 +22,14 @@
 const (
 	headerRecord = chivegauge.HeaderPrefix + "Record"
 	headerDraw   = chivegauge.HeaderPrefix + "Draw"
+	headerProve  = chivegauge.HeaderPrefix + "Prove"
 )
 
 // peers answers what other nodes send: records, draws, and requests for the backend server.
 type peers struct {
 	records  registrar.Registrar
 	drawer   drawer.Drawer
+	config   freshener.Freshener
 	ready    func() bool
 	receiver *courier.Receiver
 }
@@ -39,6 +43,8 @@
 		err = p.learn(r)
 	case r.Header.Get(headerDraw) != "":
 		out, err = p.give(r)
+	case r.Header.Get(headerProve) != "":
+		out, err = p.prove(ctx, r)
 	default:
 		return p.receiver.Handle(ctx, r)
 	}
@@ -82,6 +88,20 @@
 	return p.drawer.Give(d), nil
 }
 
+// question asks what a node has in force.
+type question struct {
+	Have uint64
+	Wait time.Duration
+}
+
+func (p *peers) prove(ctx context.Context, r *carrier.Request) (freshener.Proof, error) {
+	q := question{}
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		return freshener.Proof{}, errors.Wrap(err, "decode question")
+	}
+	return p.config.Tell(ctx, q.Have, q.Wait), nil
+}
+
 // teller sends records and draws to other nodes.
 type teller struct {
 	mu    sync.Mutex
@@ -122,6 +142,16 @@
 	return g, t.send(ctx, m, headerDraw, d, &g)
 }
 
+// Prove asks the member what it has in force.
+func (t *teller) Prove(ctx context.Context, m chivegauge.Member, have uint64, wait time.Duration) (freshener.Proof, error) {
+	q := question{
+		Have: have,
+		Wait: wait,
+	}
+	p := freshener.Proof{}
+	return p, t.send(ctx, m, headerProve, q, &p)
+}
+
 // send sends a message and decodes the answer into out, if there is one.
 func (t *teller) send(ctx context.Context, m chivegauge.Member, mark string, in, out any) error {
 	b, err := json.Marshal(in)
--- a/internal/app/assembler/stop.go
+++ b/internal/app/assembler/stop.go
@@ -34,6 +34,7 @@
 	quiet := min(stopQuiet, n.settings.StopTime/2)
 	time.Sleep(time.Until(began.Add(quiet)))
 	_ = callers.Close()
+	n.guardian.Stop()
 	end := began.Add(n.settings.StopTime - stopMargin)
 	for n.callers.CloseIdle(); n.running() > 0 && time.Now().Before(end); n.callers.CloseIdle() {
 		time.Sleep(stopPoll)
--- a/internal/cluster/freshener/freshener.go
+++ b/internal/cluster/freshener/freshener.go
@@ -30,8 +30,15 @@
 	Await(ctx context.Context, revision uint64, wait time.Duration) (Reading, error)
 }
 
-// Config bounds the calls to the source.
+// Config bounds the calls to the source and to other nodes.
 type Config struct {
+	// AskWait is how long another node may wait for a change before it answers, AskTimeout how much longer it may take.
+	AskWait    time.Duration
+	AskTimeout time.Duration
+
+	// AskAge is the oldest proof that is taken from another node.
+	AskAge time.Duration
+
 	// Wait is how long one call waits for a change.
 	Wait time.Duration
 
@@ -53,6 +60,8 @@
 	Age() time.Duration
 	// Listen registers a function that is called with each configuration taken into force.
 	Listen(f func(router.Router))
+	// Tell answers another node once there is a version above the one that it has, or after the wait.
+	Tell(ctx context.Context, have uint64, wait time.Duration) Proof
 }
 
 type freshener struct {
@@ -62,18 +71,28 @@
 	listeners []func(router.Router)
 	current   atomic.Pointer[router.Router]
 
+	members Members
+	asker   Asker
+
 	mu       sync.Mutex
 	proof    time.Time
 	revision uint64
 	lost     bool
+	document router.Document
+	changed  chan struct{}
+	missed   map[string]time.Time
 }
 
 // New returns a freshener without a configuration.
-func New(cfg Config, s Source, log zerolog.Logger) Freshener {
+func New(cfg Config, s Source, m Members, a Asker, log zerolog.Logger) Freshener {
 	return &freshener{
-		cfg:    cfg,
-		source: s,
-		log:    log,
+		cfg:     cfg,
+		source:  s,
+		members: m,
+		asker:   a,
+		log:     log,
+		changed: make(chan struct{}),
+		missed:  map[string]time.Time{},
 	}
 }
 
@@ -118,8 +137,16 @@
 	return ctx.Err()
 }
 
-// step makes one call; its proof counts from when it was sent.
+// step asks the node that reads for this zone, or the source itself.
 func (f *freshener) step(ctx context.Context) error {
+	if m, ok := f.reader(); ok && f.ask(ctx, m) {
+		return nil
+	}
+	return f.read(ctx)
+}
+
+// read makes one call to the source; its proof counts from when it was sent.
+func (f *freshener) read(ctx context.Context) error {
 	sent := timekeeper.Now()
 	reading, err := f.call(ctx)
 	if err != nil {
@@ -133,9 +160,7 @@
 	if reading.Document != nil {
 		f.accept(*reading.Document)
 	}
-	f.mu.Lock()
-	f.proof = sent
-	f.mu.Unlock()
+	f.prove(sent)
 	if lost {
 		f.log.Info().Uint64("Revision", reading.Revision).Msg("configuration source regained")
 	}
@@ -167,7 +192,12 @@
 		return
 	}
 	r := router.New(d)
+	f.mu.Lock()
 	f.current.Store(&r)
+	f.document = d
+	close(f.changed)
+	f.changed = make(chan struct{})
+	f.mu.Unlock()
 	f.log.Info().Uint64("Version", d.Version).Int("Routes", len(d.Config.Routes)).Int("Workspaces", len(d.Config.Workspaces)).Msg("configuration in force")
 	for _, l := range f.listeners {
 		l(r)
--- a/internal/stream/forwarder/admit.go
+++ b/internal/stream/forwarder/admit.go
@@ -11,8 +11,8 @@
 	"github.com/chivegauge/chivegauge/internal/stream/carrier"
 )
 
-// admit makes the call of a request, or refuses it before anything is sent.
-func (f *forwarder) admit(ctx context.Context, r *carrier.Request) (chivegauge.Call, *chivegauge.Refusal) {
+// admit makes the call of a request and the number of backend servers that it may be sent to, or refuses it.
+func (f *forwarder) admit(ctx context.Context, r *carrier.Request) (chivegauge.Call, int, *chivegauge.Refusal) {
 	c := chivegauge.Call{
 		RequestID: r.Header.Get(f.Names.Attempt),
 		Caller:    f.Members.Self().Service,
@@ -21,21 +21,21 @@
 	}
 	cfg, ok := f.Config.Config.Router()
 	if !ok {
-		return c, chivegauge.Refuse(chivegauge.CodeNotReady, "the node has no configuration yet").WithRetryAfter(millis(retryAfter))
+		return c, 0, chivegauge.Refuse(chivegauge.CodeNotReady, "the node has no configuration yet").WithRetryAfter(millis(retryAfter))
 	}
 	route, ok := cfg.Route(r.Host, r.Method, r.Target)
 	if !ok {
-		return c, chivegauge.Refuse(chivegauge.CodeRouteUnknown, "no route serves this host and path")
+		return c, 0, chivegauge.Refuse(chivegauge.CodeRouteUnknown, "no route serves this host and path")
 	}
 	c.Route = route.Name
 	c.Idempotent = route.Idempotent
 	c.Importance = route.Importance
 	c.Deadline = r.Arrived.Add(f.budget(r, route))
 	if refusal := f.authorize(ctx, &c, r, route, cfg); refusal != nil {
-		return c, refusal
+		return c, 0, refusal
 	}
 	c.Service = f.service(route)
-	return c, nil
+	return c, max(1, route.Attempts), nil
 }
 
 // budget returns the route's deadline, or what the caller allows if that is less.
--- a/internal/stream/forwarder/attempts.go
+++ b/internal/stream/forwarder/attempts.go
@@ -19,11 +19,10 @@
 }
 
 // forward sends the request until an answer stands or no further attempt is allowed.
-func (f *forwarder) forward(ctx context.Context, c chivegauge.Call, r *carrier.Request) *carrier.Answer {
+func (f *forwarder) forward(ctx context.Context, c chivegauge.Call, limit int, r *carrier.Request) *carrier.Answer {
 	if refusal := f.prepare(ctx, c, r); refusal != nil {
 		return carrier.Refusal(refusal)
 	}
-	limit := f.limit(c, r)
 	t := &attempts{}
 	for {
 		m, ok := f.pick(c.Service, t.tried)
@@ -57,16 +56,6 @@
 	return nil
 }
 
-// limit returns the number of backend servers that the request may be sent to.
-func (f *forwarder) limit(c chivegauge.Call, r *carrier.Request) int {
-	cfg, _ := f.Config.Config.Router()
-	route, ok := cfg.Route(r.Host, c.Method, c.Target)
-	if !ok || route.Attempts <= 0 {
-		return 1
-	}
-	return route.Attempts
-}
-
 // take takes in the answer to one attempt.
 func (t *attempts) take(a *carrier.Answer) {
 	t.last = a
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -64,17 +64,22 @@
 
 // Config is what a forwarder is built of.
 type Config struct {
-	Names    chivegauge.HeaderNames
-	Config   Configuration
-	Members  Members
-	Rates    Rates
-	Local    Executor
-	Remote   Courier
-	Picker   picker.Picker
-	Budget   budgeter.Budgeter
-	Meter    Meter
-	Log      zerolog.Logger
-	HoldMax  int64
+	Names   chivegauge.HeaderNames
+	Config  Configuration
+	Members Members
+	Rates   Rates
+	Local   Executor
+	Remote  Courier
+	Picker  picker.Picker
+	Budget  budgeter.Window
+	Meter   Meter
+	Log     zerolog.Logger
+	HoldMax int64
+
+	// RetrySlack is the number of retries in a window that all nodes together may send beyond the share.
+	RetrySlack float64
+
+	// ProofMax is the age of the proof up to which keys are taken as valid.
 	ProofMax time.Duration
 }
 
@@ -82,6 +87,8 @@
 type Forwarder interface {
 	// Handle returns the answer to the request.
 	Handle(ctx context.Context, r *carrier.Request) *carrier.Answer
+	// Resize sets the number of nodes over which the slack of the retry budget is spread.
+	Resize(nodes int)
 }
 
 type forwarder struct {
@@ -98,15 +105,22 @@
 	}
 }
 
+// Resize spreads the slack of the retry budget over the nodes.
+func (f *forwarder) Resize(nodes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Budget.SetSlack(f.RetrySlack / float64(max(1, nodes)))
+}
+
 // Handle admits the request, sends it and answers for the outcome.
 func (f *forwarder) Handle(ctx context.Context, r *carrier.Request) *carrier.Answer {
-	call, refusal := f.admit(ctx, r)
+	call, limit, refusal := f.admit(ctx, r)
 	if refusal != nil {
 		return f.conclude(call, r, carrier.Refusal(refusal))
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(call.Budget(time.Now())+lateSlack, cancel)
-	answer := f.forward(ctx, call, r)
+	answer := f.forward(ctx, call, limit, r)
 	timer.Stop()
 	answer.OnRelease(cancel)
 	return f.conclude(call, r, answer)
@@ -173,7 +187,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	service := f.splitter.Choose(route)
-	f.Budget.First(service)
+	f.Budget.First(time.Now(), service)
 	return service
 }
 
@@ -181,5 +195,5 @@
 func (f *forwarder) paid(service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.Budget.Retry(service)
+	return f.Budget.Retry(time.Now(), service)
 }
--- a/internal/stream/guardian/guardian.go
+++ b/internal/stream/guardian/guardian.go
@@ -31,7 +31,7 @@
 	Current() (Report, bool)
 	// Load returns the running and waiting requests and the limit.
 	Load() picker.Load
-	// Stop refuses all further requests of other nodes.
+	// Stop refuses all further requests.
 	Stop()
 }
 
@@ -106,20 +106,22 @@
 	return g.gate.Load()
 }
 
-// Stop refuses all further requests of other nodes.
+// Stop refuses all further requests.
 func (g *guardian) Stop() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopped = true
 }
 
-// usable returns the report of the backend server if it may be sent work at now, or a refusal.
-func (g *guardian) usable(now time.Time) (Report, *chivegauge.Refusal) {
+// usable returns the report of the backend server if it may be sent work of the service at now, or a refusal.
+func (g *guardian) usable(now time.Time, service string) (Report, *chivegauge.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
 	case !g.known:
 		return Report{}, chivegauge.Refuse(chivegauge.CodeNoBackend, "the backend server has not reported yet")
+	case g.report.Service != service:
+		return Report{}, chivegauge.Refuse(chivegauge.CodeNoBackend, "the backend server is of another service")
 	case g.stopped:
 		return Report{}, chivegauge.Refuse(chivegauge.CodeDraining, "the node is stopping")
 	case g.report.Leaving:
@@ -133,8 +135,7 @@
 
 // Run lets the request in, sends it and tells what became of it.
 func (g *guardian) Run(ctx context.Context, c chivegauge.Call, r *carrier.Request) *carrier.Answer {
-	before, refusal := g.usable(time.Now())
-	if refusal != nil {
+	if _, refusal := g.usable(time.Now(), c.Service); refusal != nil {
 		return carrier.Refusal(refusal)
 	}
 	pass, refusal := g.gate.Enter(ctx, c)
@@ -142,10 +143,7 @@
 		return carrier.Refusal(refusal)
 	}
 	now := time.Now()
-	report, refusal := g.usable(now)
-	if refusal == nil && !report.SameStart(before) && report.Service != c.Service {
-		refusal = chivegauge.Refuse(chivegauge.CodeNoBackend, "another service has the address")
-	}
+	report, refusal := g.usable(now, c.Service)
 	if refusal == nil && c.Budget(now) <= 0 {
 		refusal = chivegauge.Refuse(chivegauge.CodeDeadline, "the deadline has passed")
 	}
--- /dev/null
+++ b/internal/stream/guardian/guardian_test.go
@@ -0,0 +1,246 @@
+package guardian_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/policy/limiter"
+	"github.com/chivegauge/chivegauge/internal/policy/scheduler"
+	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
+	"github.com/chivegauge/chivegauge/internal/stream/carrier"
+	"github.com/chivegauge/chivegauge/internal/stream/connector"
+	"github.com/chivegauge/chivegauge/internal/stream/guardian"
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+// backend answers each exchange by the function and keeps the last request.
+type backend struct {
+	answer func(ctx context.Context) (*carrier.Answer, error)
+	sent   []*carrier.Request
+}
+
+func (b *backend) Exchange(ctx context.Context, r *carrier.Request) (*carrier.Answer, error) {
+	b.sent = append(b.sent, r)
+	return b.answer(ctx)
+}
+
+func (b *backend) Drop()         {}
+func (b *backend) Dials() uint64 { return 0 }
+
+func status(code int, header http.Header) func(context.Context) (*carrier.Answer, error) {
+	return func(context.Context) (*carrier.Answer, error) {
+		a := &carrier.Answer{
+			Status: code,
+			Header: header,
+		}
+		a.Hold([]byte("x"))
+		return a, nil
+	}
+}
+
+func fails(sent bool) func(context.Context) (*carrier.Answer, error) {
+	return func(context.Context) (*carrier.Answer, error) {
+		return nil, &connector.Error{
+			Sent:  sent,
+			Cause: errors.New("broken"),
+		}
+	}
+}
+
+func newGuardian(b *backend) guardian.Guardian {
+	l := limiter.NewDeclared()
+	gate := gatekeeper.New(time.Now, l, scheduler.New(10), gatekeeper.WithMaxWait(20*time.Millisecond))
+	return guardian.New(chivegauge.OwnHeaderNames(), gate, l, b)
+}
+
+func report(instance string, born int64, sequence uint64) guardian.Report {
+	return guardian.Report{
+		Instance: instance,
+		Born:     born,
+		Sequence: sequence,
+		Service:  "booking",
+		Slots:    2,
+	}
+}
+
+func call() chivegauge.Call {
+	return chivegauge.Call{
+		RequestID: "1",
+		Service:   "booking",
+		Workspace: "golf",
+		Caller:    "entry",
+		Deadline:  time.Now().Add(time.Minute),
+	}
+}
+
+func request() *carrier.Request {
+	return &carrier.Request{
+		Method: http.MethodPost,
+		Target: "/x",
+		Header: http.Header{
+			"Authorization":                {"Bearer secret"},
+			"Chivegauge-Workspace":         {"forged"},
+			"Chivegauge-Expected-Instance": {"forged"},
+			"Accept":                       {"all"},
+		},
+	}
+}
+
+// TestReports states which reports are news: those of a later start, or later in the same.
+func TestReports(t *testing.T) {
+	first := report("i-1", 100, 5)
+	tests := map[string]struct {
+		next    guardian.Report
+		news    bool
+		leaving bool
+	}{
+		"next":                     {next: report("i-1", 100, 6), news: true},
+		"repeated":                 {next: report("i-1", 100, 5)},
+		"late":                     {next: report("i-1", 100, 4).WithLeaving()},
+		"later start":              {next: report("i-2", 200, 1), news: true},
+		"later start, same ID":     {next: report("i-1", 200, 1), news: true},
+		"earlier start":            {next: report("i-0", 50, 900)},
+		"leaving":                  {next: report("i-1", 100, 6).WithLeaving(), news: true, leaving: true},
+		"leaving in earlier start": {next: report("i-0", 50, 900).WithLeaving()},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGuardian(&backend{})
+			now := time.Unix(1000, 0)
+			is.True(g.Report(now, first))
+			is.Equal(g.Report(now, tt.next), tt.news)
+			got, _ := g.Current()
+			is.Equal(got.Leaving, tt.leaving)
+		})
+	}
+}
+
+// TestLeavingIsKept states that a start that leaves never gets work again, whatever arrives late.
+func TestLeavingIsKept(t *testing.T) {
+	is := is.New(t)
+	b := &backend{
+		answer: status(http.StatusOK, http.Header{}),
+	}
+	g := newGuardian(b)
+	now := time.Unix(1000, 0)
+	g.Report(now, report("i-1", 100, 5))
+	is.Equal(g.Run(context.Background(), call(), request()).Refusal, nil)
+	is.True(g.Leave(now, "i-1"))
+	is.True(!g.Leave(now, "i-1"))
+	g.Report(now, report("i-1", 100, 6))
+	a := g.Run(context.Background(), call(), request())
+	is.Equal(a.Refusal.Code, chivegauge.CodeDraining)
+	is.Equal(a.Refusal.Run, chivegauge.NotRun)
+	is.Equal(len(b.sent), 1)
+	g.Report(now, report("i-2", 200, 1))
+	is.Equal(g.Run(context.Background(), call(), request()).Refusal, nil)
+}
+
+// TestOutcomes states what is said of a run by how its exchange ended.
+func TestOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		answer  func(context.Context) (*carrier.Answer, error)
+		code    chivegauge.Code
+		run     chivegauge.Run
+		arrived bool
+	}{
+		"answered":       {answer: status(http.StatusOK, http.Header{})},
+		"failed itself":  {answer: status(http.StatusInternalServerError, http.Header{})},
+		"busy itself":    {answer: status(http.StatusServiceUnavailable, http.Header{})},
+		"said not run":   {answer: status(http.StatusServiceUnavailable, http.Header{"Chivegauge-Not-Run": {"1"}}), code: chivegauge.CodeBusy, run: chivegauge.NotRun, arrived: true},
+		"another one":    {answer: status(http.StatusMisdirectedRequest, http.Header{}), code: chivegauge.CodeNoBackend, run: chivegauge.NotRun, arrived: true},
+		"no connection":  {answer: fails(false), code: chivegauge.CodeNoBackend, run: chivegauge.NotRun},
+		"broken off":     {answer: fails(true), code: chivegauge.CodeOutcomeUnknown, run: chivegauge.MayHaveRun},
+		"late or absent": {answer: fails(true), code: chivegauge.CodeOutcomeUnknown, run: chivegauge.MayHaveRun},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGuardian(&backend{
+				answer: tt.answer,
+			})
+			g.Report(time.Now(), report("i-1", 100, 1))
+			a := g.Run(context.Background(), call(), request())
+			is.Equal(a.Refusal != nil, tt.code != "")
+			if a.Refusal != nil {
+				is.Equal(a.Refusal.Code, tt.code)
+				is.Equal(a.Refusal.Run, tt.run)
+				is.Equal(a.Refusal.Arrived, tt.arrived)
+			}
+			is.Equal(g.Load().Running, 0)
+		})
+	}
+}
+
+// TestUnknownBackend states that nothing is sent before the backend server reported, and nothing for another service.
+func TestUnknownBackend(t *testing.T) {
+	is := is.New(t)
+	b := &backend{
+		answer: status(http.StatusOK, http.Header{}),
+	}
+	g := newGuardian(b)
+	a := g.Run(context.Background(), call(), request())
+	is.Equal(a.Refusal.Code, chivegauge.CodeNoBackend)
+	g.Report(time.Now(), report("i-1", 100, 1))
+	other := call()
+	other.Service = "haulage"
+	a = g.Run(context.Background(), other, request())
+	is.Equal(a.Refusal.Code, chivegauge.CodeNoBackend)
+	is.Equal(a.Refusal.Run, chivegauge.NotRun)
+	is.Equal(len(b.sent), 0)
+}
+
+// TestHeaders states what the backend server is shown.
+func TestHeaders(t *testing.T) {
+	is := is.New(t)
+	b := &backend{
+		answer: status(http.StatusOK, http.Header{}),
+	}
+	g := newGuardian(b)
+	g.Report(time.Now(), report("i-1", 100, 1))
+	g.Run(context.Background(), call(), request())
+	h := b.sent[0].Header
+	names := chivegauge.OwnHeaderNames()
+	is.Equal(h.Get("Authorization"), "")
+	is.Equal(h.Get("Accept"), "all")
+	is.Equal(h.Get(names.Workspace), "golf")
+	is.Equal(h.Get(names.Expected), "i-1")
+	is.Equal(h.Get(names.Caller), "entry")
+	is.True(h.Get(names.BudgetMs) != "")
+}
+
+// TestFull states that a request is refused as not run when the slots stay taken.
+func TestFull(t *testing.T) {
+	is := is.New(t)
+	b := &backend{
+		answer: func(context.Context) (*carrier.Answer, error) {
+			return &carrier.Answer{
+				Status: http.StatusOK,
+				Header: http.Header{},
+				Body:   endless{},
+				Length: -1,
+			}, nil
+		},
+	}
+	g := newGuardian(b)
+	g.Report(time.Now(), report("i-1", 100, 1))
+	first := g.Run(context.Background(), call(), request())
+	second := g.Run(context.Background(), call(), request())
+	is.Equal(g.Load().Running, 2)
+	a := g.Run(context.Background(), call(), request())
+	is.Equal(a.Refusal.Code, chivegauge.CodeBusy)
+	is.Equal(a.Refusal.Run, chivegauge.NotRun)
+	first.Release()
+	second.Release()
+	is.Equal(g.Load().Running, 0)
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+func (endless) Close() error               { return nil }
