--- a/internal/stream/acceptor/acceptor.go
+++ b/internal/stream/acceptor/acceptor.go
@@ -40,7 +40,7 @@
 
 // Acceptor serves connections.
 type Acceptor interface {
-	// Serve accepts connections from l until it is closed, and returns the error that ended it.
+	// Serve accepts connections from l until it is closed, which is no error; open connections go on.
 	Serve(ctx context.Context, l net.Listener) error
 	// Drain makes each further answer close its connection.
 	Drain()
@@ -79,7 +79,7 @@
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return err
+			return nil
 		}
 		if err != nil {
 			time.Sleep(acceptPause)
--- a/internal/stream/acceptor/acceptor_test.go
+++ b/internal/stream/acceptor/acceptor_test.go
@@ -216,6 +216,37 @@
 	is.Equal(err, io.EOF)
 }
 
+// TestListenerClosed states that what runs goes on when no more connections are accepted.
+func TestListenerClosed(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	began := make(chan struct{})
+	closed := make(chan struct{})
+	a := acceptor.New(handler(func(_ context.Context, r *carrier.Request) *carrier.Answer {
+		close(began)
+		<-closed
+		return text(r.Target)
+	}), limits)
+	group := sync.WaitGroup{}
+	served := error(nil)
+	group.Go(func() { served = a.Serve(context.Background(), l) })
+	nc, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	send(t, nc, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-began
+	is.NoErr(l.Close())
+	group.Wait()
+	is.NoErr(served) // an error here would end all other parts of the node
+	a.CloseIdle()
+	close(closed)
+	_, got, err := read(t, bufio.NewReader(nc))
+	is.NoErr(err)
+	is.Equal(got, "/1")
+	is.NoErr(nc.Close())
+	a.Wait()
+}
+
 // TestEarlyAnswer states that an answer before the end of the body closes the connection and reaches the caller.
 func TestEarlyAnswer(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -0,0 +1,233 @@
+package forwarder_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/policy/budgeter"
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
+	"github.com/chivegauge/chivegauge/internal/request/router"
+	"github.com/chivegauge/chivegauge/internal/stream/carrier"
+	"github.com/chivegauge/chivegauge/internal/stream/forwarder"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// world is what a forwarder sees: a configuration, members, rates and answers of other nodes in turn.
+type world struct {
+	router  router.Router
+	age     time.Duration
+	members int
+	dry     bool
+	answers []func() *carrier.Answer
+	calls   []chivegauge.Call
+	sent    []*carrier.Request
+}
+
+func (w *world) Router() (router.Router, bool) { return w.router, w.router != nil }
+func (w *world) Age() time.Duration            { return w.age }
+
+func (w *world) Self() chivegauge.Member {
+	return chivegauge.Member{
+		Address: "self",
+		Service: "entry",
+	}
+}
+
+func (w *world) Service(name string) []chivegauge.Member {
+	list := make([]chivegauge.Member, 0, w.members)
+	for n := range w.members {
+		list = append(list, chivegauge.Member{
+			Address: strconv.Itoa(n),
+			Service: name,
+		})
+	}
+	return list
+}
+
+func (w *world) Take(context.Context, string) (bool, time.Duration) { return !w.dry, time.Second }
+
+func (w *world) Run(context.Context, chivegauge.Call, *carrier.Request) *carrier.Answer { return nil }
+func (w *world) Load() picker.Load                                                      { return picker.Load{} }
+
+func (w *world) Carry(_ context.Context, _ chivegauge.Member, c chivegauge.Call, r *carrier.Request) (*carrier.Answer, picker.Load) {
+	w.calls = append(w.calls, c)
+	w.sent = append(w.sent, r)
+	next := w.answers[min(len(w.calls), len(w.answers))-1]
+	return next(), picker.Load{}
+}
+
+func (w *world) Served(string, string, *chivegauge.Refusal, time.Duration) {}
+
+func answered(status int) func() *carrier.Answer {
+	return func() *carrier.Answer {
+		a := &carrier.Answer{
+			Status: status,
+			Header: http.Header{},
+		}
+		a.Hold([]byte("x"))
+		return a
+	}
+}
+
+func refused(r *chivegauge.Refusal) func() *carrier.Answer {
+	return func() *carrier.Answer { return carrier.Refusal(r) }
+}
+
+func newWorld(answers ...func() *carrier.Answer) *world {
+	high := chivegauge.Critical
+	return &world{
+		members: 3,
+		answers: answers,
+		router: router.New(router.Document{
+			Version: 1,
+			Config: chivegauge.Configuration{
+				Routes: []chivegauge.Route{
+					{Name: "read", Host: "a.example", Prefix: "/read/", Service: "booking", Idempotent: true, DeadlineMs: 5000, Attempts: 2},
+					{Name: "write", Host: "a.example", Prefix: "/write/", Service: "booking", DeadlineMs: 800, Attempts: 2},
+					{Name: "open", Host: "a.example", Prefix: "/open/", Service: "booking", Open: true, Idempotent: true, DeadlineMs: 800, Attempts: 2},
+				},
+				Workspaces: []chivegauge.Workspace{{
+					Name:       "golf",
+					Importance: &high,
+				}},
+			},
+			Keys: map[string][]string{
+				"golf": {"k1"},
+			},
+		}),
+	}
+}
+
+func (w *world) forwarder(ratio float64) forwarder.Forwarder {
+	return forwarder.New(forwarder.Config{
+		Names:    chivegauge.OwnHeaderNames(),
+		Config:   w,
+		Members:  w,
+		Rates:    w,
+		Local:    w,
+		Remote:   w,
+		Picker:   picker.NewRoundRobin(),
+		Budget:   budgeter.NewWindow(ratio, 0, time.Minute),
+		Meter:    w,
+		Log:      zerolog.Nop(),
+		HoldMax:  1000,
+		ProofMax: 4 * time.Second,
+	})
+}
+
+func request(target, key string) *carrier.Request {
+	h := http.Header{}
+	if key != "" {
+		h.Set("Authorization", "Bearer "+key)
+	}
+	return &carrier.Request{
+		Method:  http.MethodPost,
+		Target:  target,
+		Host:    "A.example:80",
+		Header:  h,
+		Body:    bytes.NewReader([]byte("body")),
+		Length:  4,
+		Arrived: time.Now(),
+	}
+}
+
+// TestAttempts states when a request is sent again, and what its caller is told.
+func TestAttempts(t *testing.T) {
+	unknown := refused(chivegauge.Unknown(chivegauge.CodeOutcomeUnknown, "broken off"))
+	draining := refused(chivegauge.Refuse(chivegauge.CodeDraining, "leaving"))
+	busy := refused(chivegauge.Refuse(chivegauge.CodeBusy, "full"))
+	arrived := refused(chivegauge.Refuse(chivegauge.CodeBusy, "said not run").WithArrived())
+	late := refused(chivegauge.Unknown(chivegauge.CodeDeadline, "no answer in time"))
+	ok := answered(http.StatusOK)
+	failed := answered(http.StatusInternalServerError)
+	tests := map[string]struct {
+		target  string
+		ratio   float64
+		answers []func() *carrier.Answer
+		sends   int
+		status  int
+	}{
+		"answered":                       {target: "/write/1", answers: []func() *carrier.Answer{ok}, sends: 1, status: 200},
+		"moved":                          {target: "/write/1", answers: []func() *carrier.Answer{draining, ok}, sends: 2, status: 200},
+		"all full":                       {target: "/write/1", answers: []func() *carrier.Answer{busy}, sends: 3, status: 503},
+		"write broken off":               {target: "/write/1", ratio: 1, answers: []func() *carrier.Answer{unknown, ok}, sends: 1, status: 502},
+		"write late":                     {target: "/write/1", ratio: 1, answers: []func() *carrier.Answer{late, ok}, sends: 1, status: 504},
+		"write failed":                   {target: "/write/1", ratio: 1, answers: []func() *carrier.Answer{failed, ok}, sends: 1, status: 500},
+		"write not run by backend":       {target: "/write/1", ratio: 1, answers: []func() *carrier.Answer{arrived, ok}, sends: 2, status: 200},
+		"write not run, no budget":       {target: "/write/1", answers: []func() *carrier.Answer{arrived, ok}, sends: 1, status: 503},
+		"read broken off":                {target: "/read/1", ratio: 1, answers: []func() *carrier.Answer{unknown, ok}, sends: 2, status: 200},
+		"read broken off, no budget":     {target: "/read/1", answers: []func() *carrier.Answer{unknown, ok}, sends: 1, status: 502},
+		"read failed":                    {target: "/read/1", ratio: 1, answers: []func() *carrier.Answer{failed, ok}, sends: 2, status: 200},
+		"read failed twice":              {target: "/read/1", ratio: 2, answers: []func() *carrier.Answer{failed, failed, ok}, sends: 2, status: 500},
+		"read ran, then refused not run": {target: "/read/1", ratio: 1, answers: []func() *carrier.Answer{unknown, draining}, sends: 3, status: 502},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(tt.answers...)
+			a := w.forwarder(tt.ratio).Handle(context.Background(), request(tt.target, "k1"))
+			is.Equal(len(w.calls), tt.sends)
+			is.Equal(a.Status, tt.status)
+			if tt.status == http.StatusServiceUnavailable {
+				is.True(a.Header.Get(chivegauge.HeaderRetryAfter) != "")
+			}
+		})
+	}
+}
+
+// TestAdmission states what is refused before anything is sent.
+func TestAdmission(t *testing.T) {
+	tests := map[string]struct {
+		target string
+		key    string
+		change func(w *world)
+		status int
+		sends  int
+	}{
+		"known key":                 {target: "/write/1", key: "k1", status: 200, sends: 1},
+		"unknown key":               {target: "/write/1", key: "k2", status: 401},
+		"no key":                    {target: "/write/1", status: 401},
+		"open, no key":              {target: "/open/1", status: 200, sends: 1},
+		"open, unknown key":         {target: "/open/1", key: "k2", status: 200, sends: 1},
+		"no route":                  {target: "/other/1", key: "k1", status: 404},
+		"query is no path":          {target: "/x?/write/1", key: "k1", status: 404},
+		"no configuration":          {target: "/write/1", key: "k1", change: func(w *world) { w.router = nil }, status: 503},
+		"old proof":                 {target: "/write/1", key: "k1", change: func(w *world) { w.age = 5 * time.Second }, status: 503},
+		"old proof and unknown key": {target: "/write/1", key: "k2", change: func(w *world) { w.age = 5 * time.Second }, status: 503},
+		"old proof, open":           {target: "/open/1", change: func(w *world) { w.age = 5 * time.Second }, status: 200, sends: 1},
+		"above rate":                {target: "/write/1", key: "k1", change: func(w *world) { w.dry = true }, status: 429},
+		"no member":                 {target: "/write/1", key: "k1", change: func(w *world) { w.members = 0 }, status: 503},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(answered(http.StatusOK))
+			if tt.change != nil {
+				tt.change(w)
+			}
+			a := w.forwarder(0).Handle(context.Background(), request(tt.target, tt.key))
+			is.Equal(a.Status, tt.status)
+			is.Equal(len(w.calls), tt.sends)
+		})
+	}
+}
+
+// TestCall states what a request becomes.
+func TestCall(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(answered(http.StatusOK))
+	r := request("/read/1", "k1")
+	r.Header.Set(chivegauge.HeaderBudgetMs, "1200")
+	w.forwarder(0).Handle(context.Background(), r)
+	c := w.calls[0]
+	is.Equal(c.Workspace, "golf")
+	is.Equal(c.Importance, chivegauge.Critical) // the workspace's goes before the route's
+	is.Equal(c.Caller, "entry")
+	is.True(c.Deadline.Sub(r.Arrived) == 1200*time.Millisecond) // the caller's is below the route's
+}
