--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -55,6 +55,10 @@
 	// startPart is the part of a burst that there is at a start, when it may have been spent just before.
 	startPart = 0.0
 
+	// answeredLines and failedLines bound the log lines a second about requests: at some 300 bytes a line, 150 KB.
+	answeredLines = 200
+	failedLines   = 300
+
 	// queueMax is the number of requests that wait for the backend server, queueTime how long they may.
 	queueMax  = 128
 	queueTime = 150 * time.Millisecond
@@ -157,6 +161,7 @@
 	}
 	n.members = registrar.New(registrar.Config{
 		Timeout:     storeTimeout,
+		TellTimeout: dialTimeout,
 		Period:      listPeriod,
 		YoungPeriod: listYoungPeriod,
 		Young:       listYoung,
@@ -192,7 +197,17 @@
 		Attempt:     s.Names.Attempt,
 		HoldBytes:   holdBytes,
 	})
-	n.guardian = guardian.New(s.Names, gate, limit, backend)
+	requests := n.log.Sample(zerolog.LevelSampler{
+		InfoSampler: &zerolog.BurstSampler{
+			Burst:  answeredLines,
+			Period: time.Second,
+		},
+		WarnSampler: &zerolog.BurstSampler{
+			Burst:  failedLines,
+			Period: time.Second,
+		},
+	})
+	n.guardian = guardian.New(s.Names, gate, limit, backend, requests)
 	remote := courier.New(courier.Config{
 		DialTimeout: dialTimeout,
 		Silence:     peerSilence,
@@ -210,7 +225,7 @@
 		Picker:   picker.New(s.Member.Zone, s.Member.Region),
 		Budget:   budgeter.NewWindow(s.RetryRatio/callDepth, 0, s.RetryWindow),
 		Meter:    n.meter,
-		Log:      n.log,
+		Log:      requests,
 		HoldMax:  holdBytes,
 		ProofMax: s.KeyLifetime - proofMargin,
 
--- a/internal/app/assembler/stop.go
+++ b/internal/app/assembler/stop.go
@@ -18,10 +18,10 @@
 	stopQuiet = 2500 * time.Millisecond
 
 	// stopMargin is the end of the time to stop, in which the record is withdrawn and the process ends.
-	stopMargin = time.Second
+	stopMargin = 1200 * time.Millisecond
 
 	// withdrawTime bounds the withdrawal of the record.
-	withdrawTime = 500 * time.Millisecond
+	withdrawTime = 300 * time.Millisecond
 )
 
 // stop tells the other nodes first, serves on until callers have gone elsewhere, and waits for what runs.
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -25,8 +25,9 @@
 
 // Config is how often the store is asked.
 type Config struct {
-	// Timeout bounds one call.
-	Timeout time.Duration
+	// Timeout bounds one call to the store, TellTimeout one message to another node.
+	Timeout     time.Duration
+	TellTimeout time.Duration
 
 	// Period is the time between two lists; while the list is young, YoungPeriod.
 	Period      time.Duration
@@ -271,7 +272,7 @@
 func (r *registrar) tell(to []Record, rec Record) {
 	for _, other := range to {
 		r.group.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), r.cfg.Timeout)
+			ctx, cancel := context.WithTimeout(context.Background(), r.cfg.TellTimeout)
 			defer cancel()
 			if err := r.teller.Tell(ctx, other.Member, rec); err != nil {
 				r.log.Debug().Err(err).Str("Node", other.Member.Address).Msg("node not told of a change")
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -140,7 +140,13 @@
 
 // send carries the request to a member and tells the picker what came of it.
 func (f *forwarder) send(ctx context.Context, m chivegauge.Member, c chivegauge.Call, r *carrier.Request) *carrier.Answer {
+	began := time.Now()
 	a, load := f.carry(ctx, m, c, r)
+	if a.Refusal != nil {
+		f.Log.Warn().Str("Request", c.RequestID).Str("Route", c.Route).Str("Service", c.Service).Str("Member", m.Address).
+			Uint64("Incarnation", m.Incarnation).Str("Code", string(a.Refusal.Code)).Str("Run", string(a.Refusal.Run)).
+			Str("Reason", a.Refusal.Message).Dur("BudgetMs", c.Budget(began)).Dur("TookMs", time.Since(began)).Msg("attempt failed")
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.Picker.End(time.Now(), m.Address, outcome(a), load)
--- a/internal/stream/forwarder/present.go
+++ b/internal/stream/forwarder/present.go
@@ -56,6 +56,9 @@
 	if cfg, ok := f.Config.Config.Router(); ok {
 		version = cfg.Version()
 	}
+	if c.Workspace != "" {
+		e.Dur("ProofAgeMs", f.Config.Config.Age())
+	}
 	e.Str("Request", c.RequestID).Str("Route", c.Route).Str("Service", c.Service).Str("Workspace", c.Workspace).
 		Uint64("ConfigVersion", version).Int("Status", a.Status).Dur("TookMs", took).Msg("request answered")
 }
--- a/internal/stream/guardian/guardian.go
+++ b/internal/stream/guardian/guardian.go
@@ -14,6 +14,7 @@
 	"github.com/chivegauge/chivegauge/internal/stream/carrier"
 	"github.com/chivegauge/chivegauge/internal/stream/connector"
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 )
 
 // downPause is how long a backend server that refused a connection is not tried again.
@@ -40,6 +41,7 @@
 	gate    gatekeeper.Gatekeeper
 	limit   limiter.Declared
 	backend connector.Connector
+	log     zerolog.Logger
 
 	mu      sync.Mutex
 	report  Report
@@ -49,12 +51,13 @@
 }
 
 // New returns a guardian that refuses everything until the backend server reports.
-func New(names chivegauge.HeaderNames, g gatekeeper.Gatekeeper, l limiter.Declared, b connector.Connector) Guardian {
+func New(names chivegauge.HeaderNames, g gatekeeper.Gatekeeper, l limiter.Declared, b connector.Connector, log zerolog.Logger) Guardian {
 	return &guardian{
 		names:   names,
 		gate:    g,
 		limit:   l,
 		backend: b,
+		log:     log,
 	}
 }
 
@@ -133,8 +136,23 @@
 	}
 }
 
-// Run lets the request in, sends it and tells what became of it.
+// Run lets the request in, sends it, tells what became of it and logs what went wrong.
 func (g *guardian) Run(ctx context.Context, c chivegauge.Call, r *carrier.Request) *carrier.Answer {
+	began := time.Now()
+	a := g.run(ctx, c, r)
+	if a.Refusal == nil {
+		return a
+	}
+	report, _ := g.Current()
+	load := g.Load()
+	g.log.Warn().Str("Request", c.RequestID).Str("Route", c.Route).Str("Caller", c.Caller).Str("Code", string(a.Refusal.Code)).
+		Str("Run", string(a.Refusal.Run)).Str("Reason", a.Refusal.Message).Str("Instance", report.Instance).
+		Uint64("Sequence", report.Sequence).Bool("Leaving", report.Leaving).Int("Running", load.Running).
+		Int("Waiting", load.Waiting).Int("Limit", load.Limit).Dur("TookMs", time.Since(began)).Msg("request not run to its end here")
+	return a
+}
+
+func (g *guardian) run(ctx context.Context, c chivegauge.Call, r *carrier.Request) *carrier.Answer {
 	if _, refusal := g.usable(time.Now(), c.Service); refusal != nil {
 		return carrier.Refusal(refusal)
 	}
--- a/internal/stream/guardian/guardian_test.go
+++ b/internal/stream/guardian/guardian_test.go
@@ -15,6 +15,7 @@
 	"github.com/chivegauge/chivegauge/internal/stream/guardian"
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 )
 
 // backend answers each exchange by the function and keeps the last request.
@@ -54,7 +55,7 @@
 func newGuardian(b *backend) guardian.Guardian {
 	l := limiter.NewDeclared()
 	gate := gatekeeper.New(time.Now, l, scheduler.New(10), gatekeeper.WithMaxWait(20*time.Millisecond))
-	return guardian.New(chivegauge.OwnHeaderNames(), gate, l, b)
+	return guardian.New(chivegauge.OwnHeaderNames(), gate, l, b, zerolog.Nop())
 }
 
 func report(instance string, born int64, sequence uint64) guardian.Report {
