Repeat the notice of a death until the node answers

Notices had 300 ms and were not repeated. Ruled out: the double count of a process in the test, a conviction overwritten by a later suspicion (quarantiner keeps the higher), a restart between death and the look (the test starts a backend server only after the attack returned).

--- a/internal/app/supervisor/control.go
+++ b/internal/app/supervisor/control.go
@@ -101,11 +101,12 @@
 	dialer dialer.Dialer
 }
 
-// Blame tells the member; one that is not reached learns nothing.
-func (t *teller) Blame(ctx context.Context, m chivegauge.Member, n isolator.News) {
-	_, _ = t.dialer.Control(m.Address).Blame(ctx, &messenger.BlameRequest{
+// Blame tells the member, or returns an error if it did not answer.
+func (t *teller) Blame(ctx context.Context, m chivegauge.Member, n isolator.News) error {
+	_, err := t.dialer.Control(m.Address).Blame(ctx, &messenger.BlameRequest{
 		Fingerprint: n.Fingerprint,
 		Died:        n.Died,
 		Trial:       n.Trial,
 	})
+	return err
 }
--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -50,7 +50,7 @@
 
 func (a alone) Service(string) []chivegauge.Member { return []chivegauge.Member{a.Self()} }
 
-func (alone) Blame(context.Context, chivegauge.Member, isolator.News) {}
+func (alone) Blame(context.Context, chivegauge.Member, isolator.News) error { return nil }
 
 func newExecutor(b executor.Backend) executor.Executor {
 	gate := gatekeeper.New(time.Now, limiter.NewStatic(4), scheduler.New(10))
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -11,7 +11,13 @@
 )
 
 const (
-	tellTime   = 300 * time.Millisecond
+	// tellTime is how long the end of a run waits until the other nodes know of a death; it is spent on deaths alone.
+	tellTime = time.Second
+
+	// repeatTime is how long a node is told again that did not answer, repeatPause the pause between.
+	repeatTime  = 5 * time.Second
+	repeatPause = 100 * time.Millisecond
+
 	trialGrace = 2 * time.Second
 )
 
@@ -30,7 +36,7 @@
 
 // Teller sends news to another node.
 type Teller interface {
-	Blame(ctx context.Context, m chivegauge.Member, n News)
+	Blame(ctx context.Context, m chivegauge.Member, n News) error
 }
 
 // Ending is how an admitted request ended.
@@ -72,6 +78,7 @@
 	members Members
 	teller  Teller
 	trials  chan struct{}
+	group   sync.WaitGroup
 
 	mu        sync.Mutex
 	suspects  quarantiner.Quarantiner
@@ -206,18 +213,45 @@
 	}
 }
 
-// tell sends news to each other node of the service, the draining ones included, and waits a bounded time.
+// tell sends news to each other node of the service, the draining ones included, and waits a bounded time; those
+// that have not answered by then are told on in the background.
 func (i *isolator) tell(n News) {
-	ctx, cancel := context.WithTimeout(context.Background(), tellTime)
-	defer cancel()
 	self := i.members.Self()
-	group := sync.WaitGroup{}
+	told := make(chan struct{})
+	group := &sync.WaitGroup{}
 	for _, m := range i.members.Service(self.Service) {
 		if m.Address != self.Address && m.State <= chivegauge.Draining {
-			group.Go(func() { i.teller.Blame(ctx, m, n) })
+			group.Go(func() { i.repeat(m, n) })
+		}
+	}
+	i.group.Go(func() {
+		group.Wait()
+		close(told)
+	})
+	timer := time.NewTimer(tellTime)
+	defer timer.Stop()
+	select {
+	case <-told:
+	case <-timer.C:
+	}
+}
+
+// repeat tells a node until it answers, or for a bounded time.
+func (i *isolator) repeat(m chivegauge.Member, n News) {
+	ctx, cancel := context.WithTimeout(context.Background(), repeatTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, tellTime)
+		err := i.teller.Blame(callCtx, m, n)
+		cancel()
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(repeatPause):
 		}
 	}
-	group.Wait()
 }
 
 // Learn takes in the news of another node.
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/proof/seeder"
 	"github.com/chivegauge/chivegauge/internal/request/isolator"
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 )
 
@@ -16,10 +18,11 @@
 	os.Exit(seeder.Run(m))
 }
 
-// service is a service of nodes that tell each other news at once.
+// service is a service of nodes that tell each other news at once, the first lost messages aside.
 type service struct {
 	members []chivegauge.Member
 	nodes   map[string]isolator.Isolator
+	lost    atomic.Int64
 }
 
 // view is the service as one of its nodes sees it.
@@ -32,8 +35,12 @@
 
 func (v view) Service(string) []chivegauge.Member { return v.members }
 
-func (v view) Blame(_ context.Context, m chivegauge.Member, n isolator.News) {
+func (v view) Blame(_ context.Context, m chivegauge.Member, n isolator.News) error {
+	if v.lost.Add(-1) >= 0 {
+		return errors.New("lost")
+	}
 	v.nodes[m.Address].Learn(n)
+	return nil
 }
 
 func newService(now func() time.Time) *service {
@@ -138,6 +145,25 @@
 	}
 }
 
+// TestLostNoticeIsRepeated states that each node knows of a death although the first notices of it were lost.
+func TestLostNoticeIsRepeated(t *testing.T) {
+	is := is.New(t)
+	s := newService(func() time.Time { return time.Unix(1000, 0) })
+	at, a, _ := s.admit("a", "killer")
+	s.lost.Store(3)
+	s.nodes[at].Leave(a, isolator.Died)
+	trial, a, refusal := s.admit("b", "killer")
+	is.Equal(refusal, nil)
+	is.True(a.Trial())
+	s.lost.Store(3)
+	s.nodes[trial].Leave(a, isolator.Died)
+	for _, address := range []string{"a", "b", "c"} {
+		_, _, refusal := s.admit(address, "killer")
+		is.True(refusal != nil)
+		is.Equal(refusal.Code, chivegauge.CodeQuarantined)
+	}
+}
+
 // TestSuspicionTravelsWithTheCall states that a second attempt runs alone although each notice of the first death was lost.
 func TestSuspicionTravelsWithTheCall(t *testing.T) {
 	is := is.New(t)
