--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -63,8 +63,8 @@
 	queueMax  = 128
 	queueTime = 150 * time.Millisecond
 
-	// callDepth is the depth of call trees over which the retry budget is spread.
-	callDepth = 4
+	// callsAbove is the number of services above another in a call tree whose retries repeat the calls to it.
+	callsAbove = 3
 
 	// proofMargin is what the check of a key's freshness may take.
 	proofMargin = 250 * time.Millisecond
@@ -223,13 +223,13 @@
 		Local:    n.guardian,
 		Remote:   remote,
 		Picker:   picker.New(s.Member.Zone, s.Member.Region),
-		Budget:   budgeter.NewWindow(s.RetryRatio/callDepth, 0, s.RetryWindow),
+		Budget:   budgeter.NewWindow(retryShare(s.RetryRatio), 0, s.RetryWindow),
 		Meter:    n.meter,
 		Log:      requests,
 		HoldMax:  holdBytes,
 		ProofMax: s.KeyLifetime - proofMargin,
 
-		RetrySlack: s.RetrySlack / callDepth,
+		RetrySlack: s.RetrySlack / 2,
 	})
 	n.members.Listen(f.Resize)
 	n.callers = acceptor.New(f, n.limits)
@@ -242,6 +242,15 @@
 	}, peerLimits)
 }
 
+// retryShare gives half of the allowed ratio to the retries towards a service, and half to the calls that are repeated
+// by retries towards the services above it.
+func retryShare(ratio float64) budgeter.Share {
+	return budgeter.Share{
+		All: ratio / 2,
+		Ran: ratio / 2 / callsAbove,
+	}
+}
+
 func part(d time.Duration, share float64) time.Duration {
 	return time.Duration(share * float64(d))
 }
--- a/internal/policy/budgeter/window.go
+++ b/internal/policy/budgeter/window.go
@@ -10,16 +10,24 @@
 type Window interface {
 	// First counts a first attempt towards the destination.
 	First(now time.Time, destination string)
-	// Retry takes one retry and reports whether there was room for it.
-	Retry(now time.Time, destination string) bool
+	// Retry takes one retry and reports whether there was room for it; ran says that the request may have run.
+	Retry(now time.Time, destination string, ran bool) bool
 	// SetSlack sets the retries in a window that are allowed beyond the share.
 	SetSlack(slack float64)
 }
 
+// Share bounds retries to a ratio of the first attempts. A request that may have run repeats its nested calls, which
+// count at the services below, so that those retries have a lower ratio of their own.
+type Share struct {
+	All float64
+	Ran float64
+}
+
 // count is what was sent in one part of a window.
 type count struct {
 	firsts  int
 	retries int
+	ran     int
 }
 
 // counts are the parts of one destination, by the number of the part.
@@ -29,16 +37,16 @@
 }
 
 type window struct {
-	ratio  float64
+	share  Share
 	slack  float64
 	part   time.Duration
 	counts map[string]*counts
 }
 
-// NewWindow returns a window of the length that allows ratio retries for each first attempt.
-func NewWindow(ratio, slack float64, length time.Duration) Window {
+// NewWindow returns a window of the length that allows the share of retries and the slack.
+func NewWindow(share Share, slack float64, length time.Duration) Window {
 	return &window{
-		ratio:  ratio,
+		share:  share,
 		slack:  slack,
 		part:   max(time.Millisecond, length/partsPerWindow),
 		counts: map[string]*counts{},
@@ -74,16 +82,25 @@
 }
 
 // Retry takes one retry if the window has room for it.
-func (w *window) Retry(now time.Time, destination string) bool {
+func (w *window) Retry(now time.Time, destination string, ran bool) bool {
 	c, i := w.at(now, destination)
 	sum := count{}
 	for _, p := range c.parts {
 		sum.firsts += p.firsts
 		sum.retries += p.retries
+		sum.ran += p.ran
+	}
+	if float64(sum.retries+1) > w.share.All*float64(sum.firsts)+w.slack {
+		return false
+	}
+	if !ran {
+		c.parts[i].retries++
+		return true
 	}
-	if float64(sum.retries+1) > w.ratio*float64(sum.firsts)+w.slack {
+	if float64(sum.ran+1) > w.share.Ran*float64(sum.firsts)+w.slack*w.share.Ran/w.share.All {
 		return false
 	}
 	c.parts[i].retries++
+	c.parts[i].ran++
 	return true
 }
--- a/internal/stream/forwarder/attempts.go
+++ b/internal/stream/forwarder/attempts.go
@@ -89,9 +89,9 @@
 	case t.arrivals >= limit:
 		return false
 	case refusal != nil && refusal.Run == chivegauge.NotRun:
-		return f.paid(c.Service)
+		return f.paid(c.Service, t.ran)
 	default:
-		return c.Idempotent && f.paid(c.Service)
+		return c.Idempotent && f.paid(c.Service, true)
 	}
 }
 
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -197,9 +197,9 @@
 	return service
 }
 
-// paid takes one further arrival at the service out of the retry budget.
-func (f *forwarder) paid(service string) bool {
+// paid takes one further arrival at the service out of the retry budget; ran says that the request may have run.
+func (f *forwarder) paid(service string, ran bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.Budget.Retry(time.Now(), service)
+	return f.Budget.Retry(time.Now(), service, ran)
 }
--- a/internal/stream/forwarder/forwarder_test.go
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -113,7 +113,7 @@
 		Local:    w,
 		Remote:   w,
 		Picker:   picker.NewRoundRobin(),
-		Budget:   budgeter.NewWindow(ratio, 0, time.Minute),
+		Budget:   budgeter.NewWindow(budgeter.Share{All: ratio, Ran: ratio}, 0, time.Minute),
 		Meter:    w,
 		Log:      zerolog.Nop(),
 		HoldMax:  1000,
