Hand out no burst again when another node takes over; carry a leaving on through restarts

A node that restarted twice beside a leaving backend server forgot the leaving: its own first write erased it. It is inherited now.

--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -192,7 +192,19 @@
 		return nil
 	}
 	r.known.Store(true)
-	return r.Change(ctx, func(rec Record) Record { return rec })
+	return r.Change(ctx, r.inherit)
+}
+
+// inherit keeps in the record that a backend server leaves, until another start of it reports.
+func (r *registrar) inherit(rec Record) Record {
+	if r.former == nil || !r.former.Leaving || rec.Instance != "" {
+		return rec
+	}
+	rec.Instance = r.former.Instance
+	rec.Born = r.former.Born
+	rec.Sequence = r.former.Sequence
+	rec.Leaving = true
+	return rec
 }
 
 // take keeps a record that is newer than the known one of its address.
--- /dev/null
+++ b/internal/cluster/registrar/registrar_test.go
@@ -0,0 +1,210 @@
+package registrar_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+const patience = 10 * time.Second
+
+// store holds records; it may be down.
+type store struct {
+	mu      sync.Mutex
+	down    bool
+	records map[string]registrar.Record
+}
+
+func (s *store) List(context.Context, bool) ([]registrar.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, errors.New("down")
+	}
+	list := make([]registrar.Record, 0, len(s.records))
+	for _, r := range s.records {
+		list = append(list, r)
+	}
+	return list, nil
+}
+
+func (s *store) Put(_ context.Context, r registrar.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return errors.New("down")
+	}
+	s.records[r.Member.Address] = r
+	return nil
+}
+
+func (s *store) Delete(_ context.Context, address string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.records, address)
+	return nil
+}
+
+func (s *store) setDown(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = on
+}
+
+// fleet is nodes that tell each other of changes.
+type fleet struct {
+	store *store
+	mu    sync.Mutex
+	nodes map[string]registrar.Registrar
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		store: &store{
+			records: map[string]registrar.Record{},
+		},
+		nodes: map[string]registrar.Registrar{},
+	}
+}
+
+func (f *fleet) Tell(_ context.Context, m chivegauge.Member, r registrar.Record) error {
+	f.mu.Lock()
+	to := f.nodes[m.Address]
+	f.mu.Unlock()
+	if to == nil {
+		return errors.New("no such node")
+	}
+	to.Learn(r)
+	return nil
+}
+
+func record(address string, incarnation uint64) registrar.Record {
+	return registrar.Record{
+		Member: chivegauge.Member{
+			Address:     address,
+			Service:     "booking",
+			Incarnation: incarnation,
+		},
+	}
+}
+
+// start starts a node whose backend server has reported.
+func (f *fleet) start(t *testing.T, r registrar.Record) registrar.Registrar {
+	t.Helper()
+	n := registrar.New(registrar.Config{
+		Timeout:     time.Second,
+		TellTimeout: time.Second,
+		Period:      20 * time.Millisecond,
+		YoungPeriod: 5 * time.Millisecond,
+		Young:       time.Second,
+		RetryMax:    20 * time.Millisecond,
+	}, f.store, f, r, zerolog.New(io.Discard))
+	f.mu.Lock()
+	f.nodes[r.Member.Address] = n
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	group := sync.WaitGroup{}
+	group.Go(func() { _ = n.Serve(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return n
+}
+
+func with(instance string, leaving bool) func(registrar.Record) registrar.Record {
+	return func(r registrar.Record) registrar.Record {
+		r.Instance = instance
+		r.Leaving = leaving
+		return r
+	}
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
+
+// TestNodesFindEachOther states that nodes which start together find each other, and hear of changes without the store.
+func TestNodesFindEachOther(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	var nodes []registrar.Registrar
+	for _, address := range []string{"a", "b", "c"} {
+		n := f.start(t, record(address, 1))
+		nodes = append(nodes, n)
+		is.NoErr(n.Change(context.Background(), with("i-"+address, false)))
+	}
+	all := func(want int) func() bool {
+		return func() bool {
+			for _, n := range nodes {
+				if len(n.Service("booking")) != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, "three members everywhere", all(3))
+	f.store.setDown(true)
+	is.True(nodes[0].Change(context.Background(), with("i-a", true)) != nil) // the store does not have it
+	eventually(t, "two members everywhere, without the store", all(2))
+	is.Equal(nodes[1].Len(), 3)
+}
+
+// TestFormerRecord states that a process finds what the one before it wrote, such as that its backend server leaves.
+func TestFormerRecord(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	before := record("a", 1)
+	before.Instance = "i-a"
+	before.Leaving = true
+	is.NoErr(f.store.Put(context.Background(), before))
+	n := f.start(t, record("a", 2))
+	eventually(t, "the list", n.Known)
+	former, ok := n.Former()
+	is.True(ok)
+	is.True(former.Leaving)
+	is.Equal(former.Instance, "i-a")
+	eventually(t, "the leaving in the record of the next process", func() bool {
+		list, err := f.store.List(context.Background(), false)
+		return err == nil && list[0].Member.Incarnation == 2 && list[0].Leaving
+	})
+}
+
+// TestNewer states which record of an address replaces another.
+func TestNewer(t *testing.T) {
+	tests := map[string]struct {
+		record registrar.Record
+		newer  bool
+	}{
+		"same":          {record: registrar.Record{Member: chivegauge.Member{Incarnation: 2}, Change: 5}},
+		"later change":  {record: registrar.Record{Member: chivegauge.Member{Incarnation: 2}, Change: 6}, newer: true},
+		"later process": {record: registrar.Record{Member: chivegauge.Member{Incarnation: 3}, Change: 1}, newer: true},
+		"earlier one":   {record: registrar.Record{Member: chivegauge.Member{Incarnation: 1}, Change: 9}},
+	}
+	known := registrar.Record{
+		Member: chivegauge.Member{
+			Incarnation: 2,
+		},
+		Change: 5,
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(tt.record.Newer(known), tt.newer)
+		})
+	}
+}
--- a/internal/policy/divider/divider.go
+++ b/internal/policy/divider/divider.go
@@ -10,8 +10,8 @@
 type Divider interface {
 	// Configure sets the rates, of which the buckets get the part, above 0 and at most 1.
 	Configure(now time.Time, list []chivegauge.Workspace, part float64)
-	// Limited reports whether the workspace has a rate at all.
-	Limited(workspace string) bool
+	// Empty takes all tokens of the workspace away.
+	Empty(now time.Time, workspace string)
 	// Take spends up to want tokens and returns how many, and how long it is until there is another.
 	Take(now time.Time, workspace string, want int) (taken int, wait time.Duration)
 }
@@ -70,9 +70,12 @@
 	}
 }
 
-// Limited reports whether the workspace has a rate.
-func (d *divider) Limited(workspace string) bool {
-	return d.buckets[workspace] != nil
+// Empty takes all tokens of the workspace away.
+func (d *divider) Empty(now time.Time, workspace string) {
+	if b := d.buckets[workspace]; b != nil {
+		b.fill(now)
+		b.level = 0
+	}
 }
 
 // Take spends tokens; a workspace without a rate has no limit.
--- a/internal/request/drawer/drawer.go
+++ b/internal/request/drawer/drawer.go
@@ -63,7 +63,7 @@
 type Drawer interface {
 	// Configure sets the workspaces.
 	Configure(list []chivegauge.Workspace)
-	// Resize sets the number of nodes.
+	// Resize sets the number of nodes; it is called at each change of those alive.
 	Resize(nodes int)
 	// Take spends a token for a request, or returns how long it is until there is one.
 	Take(ctx context.Context, workspace string) (ok bool, wait time.Duration)
@@ -93,6 +93,7 @@
 	self       divider.Divider
 	lines      map[string]*line
 	lost       map[string]loss
+	keeps      map[string]bool
 }
 
 // line is the requests of one workspace that wait for tokens.
@@ -113,7 +114,7 @@
 	wait time.Duration
 }
 
-// New returns a drawer; initial is the part of each burst that there is at the start, from 0 to 1.
+// New returns a drawer; initial is the part of its own bursts that a node has at the start, from 0 to 1.
 func New(now func() time.Time, m Members, a Asker, initial float64) Drawer {
 	return &drawer{
 		now:     now,
@@ -121,10 +122,11 @@
 		asker:   a,
 		nodes:   1,
 		own:     divider.New(initial),
-		kept:    divider.New(initial),
+		kept:    divider.New(0),
 		self:    divider.New(initial),
 		lines:   map[string]*line{},
 		lost:    map[string]loss{},
+		keeps:   map[string]bool{},
 	}
 }
 
@@ -134,6 +136,7 @@
 	defer d.mu.Unlock()
 	d.workspaces = list
 	d.divide()
+	d.review()
 }
 
 // Resize sets the number of nodes.
@@ -144,6 +147,24 @@
 		d.nodes = max(1, nodes)
 		d.divide()
 	}
+	d.review()
+}
+
+// review finds out which workspaces this node hands out tokens of; d.mu is held.
+func (d *drawer) review() {
+	self := d.members.Self().Address
+	for _, w := range d.workspaces {
+		d.keep(w.Name, d.keeper(w.Name).Address == self)
+	}
+}
+
+// keep takes in whether this node hands out tokens of the workspace. It starts with none: the node before it
+// may have handed out the burst. d.mu is held.
+func (d *drawer) keep(workspace string, keeps bool) {
+	if keeps && !d.keeps[workspace] {
+		d.kept.Empty(d.now(), workspace)
+	}
+	d.keeps[workspace] = keeps
 }
 
 func (d *drawer) divide() {
@@ -250,7 +271,7 @@
 // draw asks the node that hands out the tokens of the workspace, or the next one if it does not answer.
 func (d *drawer) draw(ctx context.Context, w Draw) Grant {
 	for range triesMax {
-		m := d.keeper(w.Workspace)
+		m := d.ask(w.Workspace)
 		if m.Address == d.members.Self().Address {
 			return d.giveSelf(w)
 		}
@@ -267,11 +288,18 @@
 	}
 }
 
-// keeper returns the node that hands out the tokens of the workspace, as this node sees it.
-func (d *drawer) keeper(workspace string) chivegauge.Member {
-	alive := d.members.Alive()
+// ask returns the node to ask for tokens of the workspace.
+func (d *drawer) ask(workspace string) chivegauge.Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	m := d.keeper(workspace)
+	d.keep(workspace, m.Address == d.members.Self().Address)
+	return m
+}
+
+// keeper returns the node that hands out the tokens of the workspace, as this node sees it; d.mu is held.
+func (d *drawer) keeper(workspace string) chivegauge.Member {
+	alive := d.members.Alive()
 	now := d.now()
 	best := d.members.Self()
 	weight := weigh(best.Address, workspace)
@@ -313,6 +341,7 @@
 func (d *drawer) Give(w Draw) Grant {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.keep(w.Workspace, true)
 	granted, wait := d.kept.Take(d.now(), w.Workspace, w.Want)
 	return Grant{
 		Granted: granted,
--- a/internal/request/drawer/drawer_test.go
+++ b/internal/request/drawer/drawer_test.go
@@ -126,6 +126,34 @@
 	}
 }
 
+// TestBurstIsNotGivenTwice states that a node which hands out tokens in another's place does not hand the burst out again.
+func TestBurstIsNotGivenTwice(t *testing.T) {
+	is := is.New(t)
+	const large = 300.0
+	f := newFleet("abcdef", 0, []chivegauge.Workspace{{
+		Name:          "golf",
+		RatePerSecond: large,
+		Burst:         large,
+	}})
+	began := time.Now()
+	time.Sleep(1200 * time.Millisecond) // the burst is there now, at each node that might hand it out
+	taken := 0
+	drain := func() {
+		for range int(large) {
+			if ok, _ := f.nodes["a"].Take(context.Background(), "golf"); ok {
+				taken++
+			}
+		}
+	}
+	drain()
+	for _, m := range f.members[1:] {
+		f.cut.Store(m.Address, true)
+		drain()
+	}
+	allowed := large * (1 + time.Since(began).Seconds())
+	is.True(float64(taken) <= allowed)
+}
+
 // TestStartsEmpty states that nodes which start after others may have spent the burst do not have it again.
 func TestStartsEmpty(t *testing.T) {
 	is := is.New(t)
--- a/internal/stream/acceptor/acceptor_test.go
+++ b/internal/stream/acceptor/acceptor_test.go
@@ -71,14 +71,25 @@
 	}
 }
 
-func read(t *testing.T, br *bufio.Reader) (*http.Response, string, error) {
-	t.Helper()
+// reply is what a caller makes of an answer.
+type reply struct {
+	status int
+	last   bool
+	body   string
+}
+
+func read(br *bufio.Reader) (reply, error) {
 	res, err := http.ReadResponse(br, nil)
 	if err != nil {
-		return nil, "", err
+		return reply{}, err
 	}
+	defer func() { _ = res.Body.Close() }()
 	b, err := io.ReadAll(res.Body)
-	return res, string(b), err
+	return reply{
+		status: res.StatusCode,
+		last:   res.Close,
+		body:   string(b),
+	}, err
 }
 
 // TestRequestsSentAhead states that requests sent ahead are read while the first one runs, and answered in order.
@@ -97,9 +108,9 @@
 	send(t, nc, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\nGET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
 	br := bufio.NewReader(nc)
 	for _, want := range []string{"/1", "/2", "/3"} {
-		_, got, err := read(t, br)
+		got, err := read(br)
 		is.NoErr(err)
-		is.Equal(got, want)
+		is.Equal(got.body, want)
 	}
 }
 
@@ -160,7 +171,7 @@
 				}
 			})
 			send(t, nc, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-			_, _, err := read(t, bufio.NewReader(nc))
+			_, err := read(bufio.NewReader(nc))
 			is.True(err != nil)
 		})
 	}
@@ -189,10 +200,10 @@
 				return text("")
 			})
 			send(t, nc, tt.input)
-			res, _, err := read(t, bufio.NewReader(nc))
+			got, err := read(bufio.NewReader(nc))
 			is.NoErr(err)
-			is.Equal(res.StatusCode, tt.status)
-			is.True(res.Close)
+			is.Equal(got.status, tt.status)
+			is.True(got.last)
 		})
 	}
 }
@@ -203,15 +214,15 @@
 	a, nc := serve(t, func(_ context.Context, r *carrier.Request) *carrier.Answer { return text(r.Target) })
 	br := bufio.NewReader(nc)
 	send(t, nc, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
-	res, _, err := read(t, br)
+	got, err := read(br)
 	is.NoErr(err)
-	is.True(!res.Close)
+	is.True(!got.last)
 	a.Drain()
 	send(t, nc, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
-	res, got, err := read(t, br)
+	got, err = read(br)
 	is.NoErr(err)
-	is.Equal(got, "/2")
-	is.True(res.Close)
+	is.Equal(got.body, "/2")
+	is.True(got.last)
 	_, err = br.ReadByte()
 	is.Equal(err, io.EOF)
 }
@@ -240,9 +251,9 @@
 	is.NoErr(served) // an error here would end all other parts of the node
 	a.CloseIdle()
 	close(closed)
-	_, got, err := read(t, bufio.NewReader(nc))
+	got, err := read(bufio.NewReader(nc))
 	is.NoErr(err)
-	is.Equal(got, "/1")
+	is.Equal(got.body, "/1")
 	is.NoErr(nc.Close())
 	a.Wait()
 }
@@ -252,8 +263,8 @@
 	is := is.New(t)
 	_, nc := serve(t, func(context.Context, *carrier.Request) *carrier.Answer { return text("early") })
 	send(t, nc, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\nsome")
-	res, got, err := read(t, bufio.NewReader(nc))
+	got, err := read(bufio.NewReader(nc))
 	is.NoErr(err)
-	is.Equal(got, "early")
-	is.True(res.Close)
+	is.Equal(got.body, "early")
+	is.True(got.last)
 }
--- a/internal/stream/connector/conn.go
+++ b/internal/stream/connector/conn.go
@@ -78,7 +78,7 @@
 func (k *conn) exchange(ctx context.Context, r *carrier.Request) (*carrier.Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = k.nc.SetDeadline(past) })
 	sent := k.send(r)
-	res, err := k.receive(r)
+	res, err := k.receive(r) //nolint:bodyclose // closing the answer ends the use of the connection
 	if err != nil {
 		stop()
 		return nil, err
--- a/internal/stream/connector/connector_test.go
+++ b/internal/stream/connector/connector_test.go
@@ -164,7 +164,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			b := start(t, func(n int, r *http.Request, nc net.Conn) bool {
+			b := start(t, func(_ int, r *http.Request, nc net.Conn) bool {
 				_, _ = io.Copy(io.Discard, r.Body)
 				_, _ = io.WriteString(nc, answer(r.Header.Get(attempt), "ok")+tt.extra)
 				return tt.keep
--- a/internal/stream/forwarder/forwarder_test.go
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -53,7 +53,8 @@
 func (w *world) Take(context.Context, string) (bool, time.Duration) { return !w.dry, time.Second }
 
 func (w *world) Run(context.Context, chivegauge.Call, *carrier.Request) *carrier.Answer { return nil }
-func (w *world) Load() picker.Load                                                      { return picker.Load{} }
+
+func (w *world) Load() picker.Load { return picker.Load{} }
 
 func (w *world) Carry(_ context.Context, _ chivegauge.Member, c chivegauge.Call, r *carrier.Request) (*carrier.Answer, picker.Load) {
 	w.calls = append(w.calls, c)
