--- a/internal/app/assembler/settings.go
+++ b/internal/app/assembler/settings.go
@@ -30,9 +30,6 @@
 	// KeyLifetime is the time within which a withdrawn key must have stopped working everywhere.
 	KeyLifetime time.Duration
 
-	// DrainTime is the time after which a leaving backend server must get no new work.
-	DrainTime time.Duration
-
 	// StopTime is the time from the request to stop until the process is killed.
 	StopTime time.Duration
 
--- a/internal/stream/acceptor/acceptor.go
+++ b/internal/stream/acceptor/acceptor.go
@@ -48,8 +48,6 @@
 	CloseIdle()
 	// Running returns the number of requests not yet answered.
 	Running() int
-	// Connections returns the number of open connections.
-	Connections() int
 	// Wait returns when all connections have ended.
 	Wait()
 }
@@ -117,13 +115,6 @@
 	return int(a.running.Load())
 }
 
-// Connections returns the number of open connections.
-func (a *acceptor) Connections() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.conns)
-}
-
 // Wait returns when all connections have ended.
 func (a *acceptor) Wait() {
 	a.group.Wait()
