Look again whether a backend server died: its listener closes after its connections

Cause of TestRequestThatKills with three deaths: attack 0 ended in OutcomeUnknown instead of BackendServerDied, so the look right after the broken connection still found the listener open, and the death was blamed on nobody. TestExitIsSeen failed first.

--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -107,3 +107,31 @@
 	is.Equal(late.Refusal.Code, chivegauge.CodeAttemptConflict) // its sender was told that it did not run
 	x.Wait()
 }
+
+// exiting is a backend server that breaks a run off and whose listener closes a moment later.
+type exiting struct {
+	looks int
+}
+
+func (b *exiting) Up() bool {
+	b.looks++
+	return b.looks < 3
+}
+
+func (b *exiting) Send(context.Context, chivegauge.Call, string) (chivegauge.Answer, *chivegauge.Refusal) {
+	return chivegauge.Answer{}, chivegauge.Unknown(chivegauge.CodeOutcomeUnknown, "broken off")
+}
+
+// TestExitIsSeen states that a death is seen although the listener outlives the connection for a moment.
+func TestExitIsSeen(t *testing.T) {
+	is := is.New(t)
+	x := newExecutor(&exiting{})
+	a := x.Execute(context.Background(), chivegauge.Call{
+		AttemptID: tracker.Attempt{
+			Sender:   "a",
+			Sequence: 1,
+		}.String(),
+		Deadline: time.Now().Add(time.Minute),
+	})
+	is.Equal(a.Refusal.Code, chivegauge.CodeBackendDied)
+}
--- a/internal/request/executor/running.go
+++ b/internal/request/executor/running.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"time"
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/policy/lender"
@@ -70,7 +71,7 @@
 		return answer, isolator.Survived
 	}
 	ending := isolator.Unrun
-	if refusal.Code == chivegauge.CodeOutcomeUnknown && !e.backend.Up() {
+	if refusal.Code == chivegauge.CodeOutcomeUnknown && e.died() {
 		ending = isolator.Died
 		refusal = chivegauge.Unknown(chivegauge.CodeBackendDied, "the backend server died while it ran the request")
 	}
@@ -80,6 +81,26 @@
 	return chivegauge.RefusalAnswer(r.Call.AttemptID, refusal, 0), ending
 }
 
+const (
+	// diedLooks is how often a broken run is followed by a look whether the backend server is down, diedPause the
+	// pause between: a process that exits closes its connections before its listener.
+	diedLooks = 4
+	diedPause = 15 * time.Millisecond
+)
+
+// died reports whether the backend server takes no connections, now or within a moment.
+func (e *executor) died() bool {
+	for n := range diedLooks {
+		if n > 0 {
+			time.Sleep(diedPause)
+		}
+		if !e.backend.Up() {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *executor) tellDown() {
 	select {
 	case e.down <- struct{}{}:
