Use one rendezvous choice and one pool of connections; read on outside the lock

drawer, freshener, watcher and rememberer each hashed members by the same formula, and two of them had the same loop: Member.Weight and Heaviest serve them. The reader of a zone is chosen by Weight("reader"), another arbitrary node than before. courier and teller kept the same map of connectors: connector.Pool. A closing connection was read on for up to 0.5 s under its lock, which held up CloseIdle of all connections while a node stops; it is read on outside the lock now.

--- a/headernames.go
+++ b/headernames.go
@@ -14,9 +14,6 @@
 	// Expected carries the ID of the only backend server that may run a request.
 	Expected string
 
-	// Answering carries the ID of the backend server that answered.
-	Answering string
-
 	// NotRun marks the answer of a backend server that did not run the request.
 	NotRun string
 
@@ -34,7 +31,6 @@
 		BudgetMs:  HeaderBudgetMs,
 		Workspace: HeaderWorkspace,
 		Expected:  HeaderPrefix + "Expected-Instance",
-		Answering: HeaderPrefix + "Instance",
 		NotRun:    HeaderPrefix + "Not-Run",
 		Caller:    HeaderPrefix + "Caller",
 		KeyScheme: "Bearer",
--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -45,9 +45,8 @@
 	// peerSilence is how long sent bytes may stay unacknowledged before another node counts as gone.
 	peerSilence = 2 * time.Second
 
-	// peerKeep is how long an unused connection to another node is kept, below peerIdle.
+	// peerKeep is how long an unused connection to another node is kept, below idleTimeout.
 	peerKeep = 20 * time.Second
-	peerIdle = 30 * time.Second
 
 	// backendKeep is how long an unused connection to a backend server is kept that does not say how long it may be.
 	backendKeep = 2 * time.Second
@@ -282,7 +281,7 @@
 		HeaderBytes:   headerBytes,
 		BodyBytes:     bodyBytes,
 		HeaderTimeout: headerTimeout,
-		IdleTimeout:   max(idleTimeout, peerIdle),
+		IdleTimeout:   idleTimeout,
 	}
 }
 
--- a/internal/app/assembler/peers.go
+++ b/internal/app/assembler/peers.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -104,31 +103,18 @@
 
 // teller sends records and draws to other nodes.
 type teller struct {
-	mu    sync.Mutex
-	peers map[string]connector.Connector
+	peers *connector.Pool
 }
 
 func newTeller() *teller {
 	return &teller{
-		peers: map[string]connector.Connector{},
-	}
-}
-
-func (t *teller) peer(address string) connector.Connector {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	p := t.peers[address]
-	if p == nil {
-		p = connector.New(connector.Config{
-			Address:     address,
+		peers: connector.NewPool(connector.Config{
 			DialTimeout: dialTimeout,
 			Silence:     peerSilence,
 			KeepFor:     peerKeep,
 			HoldBytes:   holdBytes,
-		})
-		t.peers[address] = p
+		}),
 	}
-	return p
 }
 
 // Tell sends the record to the member.
@@ -158,7 +144,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode message")
 	}
-	a, err := t.peer(m.Address).Exchange(ctx, &carrier.Request{
+	a, err := t.peers.At(m.Address).Exchange(ctx, &carrier.Request{
 		Method: http.MethodPost,
 		Target: "/",
 		Host:   m.Address,
--- a/internal/app/assembler/reports.go
+++ b/internal/app/assembler/reports.go
@@ -38,15 +38,15 @@
 func (n *node) publish(ctx context.Context, r guardian.Report) {
 	n.log.Info().Str("Instance", r.Instance).Int64("Born", r.Born).Uint64("Sequence", r.Sequence).Int("Slots", r.Slots).
 		Bool("Leaving", r.Leaving).Msg("backend server changed")
-	err := n.members.Change(ctx, func(rec registrar.Record) registrar.Record {
+	change := func(rec registrar.Record) registrar.Record {
 		rec.Instance = r.Instance
 		rec.Born = r.Born
 		rec.Sequence = r.Sequence
 		rec.Slots = r.Slots
 		rec.Leaving = r.Leaving
 		return rec
-	})
-	if err != nil {
+	}
+	if err := n.members.Change(ctx, change); err != nil {
 		n.log.Warn().Err(err).Str("Instance", r.Instance).Bool("Leaving", r.Leaving).Msg("record not written; this node alone holds to it")
 	}
 }
--- a/internal/app/assembler/stop.go
+++ b/internal/app/assembler/stop.go
@@ -49,8 +49,8 @@
 
 // tellStopping tells the other nodes without waiting longer for the store than for them.
 func (n *node) tellStopping(ctx context.Context) {
-	err := n.members.Change(ctx, func(rec registrar.Record) registrar.Record { return rec.WithState(chivegauge.Draining) })
-	if err != nil {
+	drain := func(rec registrar.Record) registrar.Record { return rec.WithState(chivegauge.Draining) }
+	if err := n.members.Change(ctx, drain); err != nil {
 		n.log.Warn().Err(err).Msg("record not written while stopping")
 	}
 }
--- a/internal/cluster/freshener/sharing.go
+++ b/internal/cluster/freshener/sharing.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 	"github.com/chivegauge/chivegauge/internal/request/router"
@@ -37,28 +36,17 @@
 	if _, ok := f.Router(); !ok {
 		return chivegauge.Member{}, false
 	}
-	alive := f.members.Alive()
 	self := f.members.Self()
 	now := timekeeper.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	best := self
-	weight := weigh(self)
-	for _, m := range alive {
-		if m.Zone != self.Zone || now.Before(f.missed[m.Address]) {
-			continue
-		}
-		if w := weigh(m); w > weight {
-			best = m
-			weight = w
-		}
-	}
+	skip := func(m chivegauge.Member) bool { return m.Zone != self.Zone || now.Before(f.missed[m.Address]) }
+	best := chivegauge.Heaviest(self, f.members.Alive(), readerKey, skip)
 	return best, best.Address != self.Address
 }
 
-func weigh(m chivegauge.Member) uint64 {
-	return xxhash.Sum64String("reader|" + m.Address)
-}
+// readerKey is the key by whose hash the reader of a zone is chosen.
+const readerKey = "reader"
 
 // ask takes the proof of another node over; its age counts from when it was asked for.
 func (f *freshener) ask(ctx context.Context, m chivegauge.Member) bool {
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -295,8 +295,8 @@
 
 // Withdraw removes the own record.
 func (r *registrar) Withdraw(ctx context.Context) error {
-	err := r.Change(ctx, func(rec Record) Record { return rec.WithState(chivegauge.Left) })
-	if err != nil {
+	leave := func(rec Record) Record { return rec.WithState(chivegauge.Left) }
+	if err := r.Change(ctx, leave); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.Timeout)
--- a/internal/cluster/watcher/watcher.go
+++ b/internal/cluster/watcher/watcher.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/base/storer"
 	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
@@ -124,16 +123,12 @@
 
 // Chosen reports whether the node is one of the watchers of the document in its zone.
 func Chosen(self chivegauge.Member, members []chivegauge.Member, name string) bool {
-	own := weight(self.Address, name)
+	own := self.Weight(name)
 	ahead := 0
 	for _, m := range members {
-		if m.Zone == self.Zone && m.Serving() && m.Address != self.Address && weight(m.Address, name) > own {
+		if m.Zone == self.Zone && m.Serving() && m.Address != self.Address && m.Weight(name) > own {
 			ahead++
 		}
 	}
 	return ahead < watchersPerZone
 }
-
-func weight(address, name string) uint64 {
-	return xxhash.Sum64String(address + "|" + name)
-}
--- a/internal/policy/rememberer/owner.go
+++ b/internal/policy/rememberer/owner.go
@@ -4,7 +4,6 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/chivegauge/chivegauge"
 )
 
@@ -18,8 +17,7 @@
 			list = append(list, m)
 		}
 	}
-	weight := func(m chivegauge.Member) uint64 { return xxhash.Sum64String(m.Address + "|" + key) }
-	sort.Slice(list, func(i, j int) bool { return weight(list[i]) > weight(list[j]) })
+	sort.Slice(list, func(i, j int) bool { return list[i].Weight(key) > list[j].Weight(key) })
 	return list
 }
 
--- a/internal/request/drawer/drawer.go
+++ b/internal/request/drawer/drawer.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/policy/divider"
 	"github.com/go-faster/errors"
@@ -299,24 +298,9 @@
 
 // keeper returns the node that hands out the tokens of the workspace, as this node sees it; d.mu is held.
 func (d *drawer) keeper(workspace string) chivegauge.Member {
-	alive := d.members.Alive()
 	now := d.now()
-	best := d.members.Self()
-	weight := weigh(best.Address, workspace)
-	for _, m := range alive {
-		if now.Before(d.lost[m.Address].until) {
-			continue
-		}
-		if w := weigh(m.Address, workspace); w > weight {
-			best = m
-			weight = w
-		}
-	}
-	return best
-}
-
-func weigh(address, workspace string) uint64 {
-	return xxhash.Sum64String(address + "|" + workspace)
+	lost := func(m chivegauge.Member) bool { return now.Before(d.lost[m.Address].until) }
+	return chivegauge.Heaviest(d.members.Self(), d.members.Alive(), workspace, lost)
 }
 
 // miss passes a node over for a while that did not answer.
--- a/internal/stream/acceptor/conn.go
+++ b/internal/stream/acceptor/conn.go
@@ -111,10 +111,18 @@
 	if _, err := c.br.Peek(1); err != nil {
 		return false
 	}
+	if !c.begin() {
+		c.discard()
+		return false
+	}
+	return true
+}
+
+// begin takes note that a request is being read, unless the connection is closing.
+func (c *conn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state.closing {
-		c.discard()
 		return false
 	}
 	c.state.reading = true
@@ -266,7 +274,7 @@
 		c.finish(false)
 		return
 	}
-	last := x.last || answer.Close || c.owner.draining.Load() || x.body.unread()
+	last := x.last || c.owner.draining.Load() || x.body.unread()
 	err := encoder.Answer(c.bw, answer, x.silent, last)
 	if err == nil && answer.Body != nil && !x.silent {
 		err = encoder.Body(c.bw, answer.Body, answer.Length)
--- a/internal/stream/carrier/carrier.go
+++ b/internal/stream/carrier/carrier.go
@@ -68,9 +68,6 @@
 	// Refusal is set on an answer that a node made itself.
 	Refusal *chivegauge.Refusal
 
-	// Close says that the connection of the caller ends with this answer.
-	Close bool
-
 	released []func()
 }
 
--- a/internal/stream/courier/courier.go
+++ b/internal/stream/courier/courier.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -22,38 +21,21 @@
 }
 
 type courier struct {
-	cfg Config
-
-	mu    sync.Mutex
-	peers map[string]connector.Connector
+	peers *connector.Pool
 }
 
 // New returns a courier without connections.
 func New(cfg Config) Courier {
 	return &courier{
-		cfg:   cfg,
-		peers: map[string]connector.Connector{},
-	}
-}
-
-func (c *courier) peer(address string) connector.Connector {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.peers[address]
-	if p == nil {
-		cfg := c.cfg
-		cfg.Address = address
-		p = connector.New(cfg)
-		c.peers[address] = p
+		peers: connector.NewPool(cfg),
 	}
-	return p
 }
 
 // Carry sends the request once.
 func (c *courier) Carry(ctx context.Context, m chivegauge.Member, call chivegauge.Call, r *carrier.Request) (*carrier.Answer, picker.Load) {
 	out := *r
 	out.Header = encodeCall(time.Now(), call, r.Header)
-	p := c.peer(m.Address)
+	p := c.peers.At(m.Address)
 	a, err := p.Exchange(ctx, &out)
 	if err == nil {
 		return a, decodeAnswer(a)
--- a/member.go
+++ b/member.go
@@ -1,5 +1,7 @@
 package chivegauge
 
+import "github.com/cespare/xxhash/v2"
+
 // MemberState is the condition of a member as its peers know it.
 type MemberState int
 
@@ -68,3 +70,21 @@
 func (m Member) Process() uint64 {
 	return m.Incarnation >> refutationBits
 }
+
+// Weight returns the member's weight in the rendezvous hash of the key.
+func (m Member) Weight(key string) uint64 {
+	return xxhash.Sum64String(m.Address + "|" + key)
+}
+
+// Heaviest returns the member with the most weight for the key, self or one of the others that skip does not pass over.
+func Heaviest(self Member, others []Member, key string, skip func(Member) bool) Member {
+	best := self
+	weight := self.Weight(key)
+	for _, m := range others {
+		if w := m.Weight(key); w > weight && !skip(m) {
+			best = m
+			weight = w
+		}
+	}
+	return best
+}
