--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -110,6 +111,8 @@
 	Report(ctx context.Context, r guardian.Report)
 	// Leave takes in that the backend server of the ID leaves without further reports.
 	Leave(ctx context.Context, instance string)
+	// Apply takes other bounds into force.
+	Apply(b Bounds)
 	// Meter returns the counters of the node.
 	Meter() meter.Meter
 	// Log returns the log of the node.
@@ -128,6 +131,8 @@
 	callers  acceptor.Acceptor
 	peers    acceptor.Acceptor
 	stopping chan struct{}
+	forward  forwarder.Forwarder
+	bounds   atomic.Pointer[Bounds]
 }
 
 // New returns the node of the settings, or an error.
@@ -146,6 +151,7 @@
 		meter:    m,
 		stopping: make(chan struct{}),
 	}
+	n.bounds.Store(&s.Bounds)
 	n.store(stores)
 	n.serve()
 	return n, nil
@@ -166,15 +172,7 @@
 		Young:       listYoung,
 		RetryMax:    storeRetryMax,
 	}, stores.Records, t, own, n.log)
-	n.config = freshener.New(freshener.Config{
-		Wait:       part(s.KeyLifetime, watchPart),
-		Timeout:    part(s.KeyLifetime, watchSlack),
-		RetryFirst: storeRetry,
-		RetryMax:   storeRetryMax,
-		AskWait:    part(s.KeyLifetime, askPart),
-		AskTimeout: askTimeout,
-		AskAge:     part(s.KeyLifetime, askAgePart),
-	}, stores.Configuration, n.members, t, n.log)
+	n.config = freshener.New(proofTimes(s.Bounds.KeyLifetime), stores.Configuration, n.members, t, n.log)
 	initial := startPart
 	if s.FirstStart {
 		initial = 1
@@ -214,7 +212,7 @@
 		Attempt:     s.Names.Attempt,
 		HoldBytes:   holdBytes,
 	})
-	f := forwarder.New(forwarder.Config{
+	n.forward = forwarder.New(forwarder.Config{
 		Names:    s.Names,
 		Config:   n.config,
 		Members:  n.members,
@@ -222,16 +220,15 @@
 		Local:    n.guardian,
 		Remote:   remote,
 		Picker:   picker.New(s.Member.Zone, s.Member.Region),
-		Budget:   budgeter.NewWindow(retryShare(s.RetryRatio), 0, s.RetryWindow),
+		Budget:   budgeter.NewWindow(retryShare(s.Bounds.RetryRatio), 0, s.RetryWindow),
 		Meter:    n.meter,
 		Log:      requests,
 		HoldMax:  holdBytes,
-		ProofMax: s.KeyLifetime - proofMargin,
-
-		RetrySlack: s.RetrySlack / 2,
+		ProofMax: n.proofMax,
 	})
-	n.members.Listen(f.Resize)
-	n.callers = acceptor.New(f, n.limits)
+	n.members.Listen(n.forward.Resize)
+	n.tune(s.Bounds)
+	n.callers = acceptor.New(n.forward, n.limits)
 	n.peers = acceptor.New(&peers{
 		records:  n.members,
 		drawer:   n.drawer,
@@ -241,6 +238,36 @@
 	}, peerLimits)
 }
 
+// Apply takes other bounds into force.
+func (n *node) Apply(b Bounds) {
+	n.bounds.Store(&b)
+	n.config.Configure(proofTimes(b.KeyLifetime))
+	n.tune(b)
+}
+
+// tune sets the bounds of the retry budget; half of the slack is for the calls that retries repeat.
+func (n *node) tune(b Bounds) {
+	n.forward.SetRetries(retryShare(b.RetryRatio), b.RetrySlack/2)
+}
+
+// proofMax returns the age of the proof up to which keys are taken as valid.
+func (n *node) proofMax() time.Duration {
+	return n.bounds.Load().KeyLifetime - proofMargin
+}
+
+// proofTimes returns how the proof of the keys is kept young enough for their lifetime.
+func proofTimes(lifetime time.Duration) freshener.Config {
+	return freshener.Config{
+		Wait:       part(lifetime, watchPart),
+		Timeout:    part(lifetime, watchSlack),
+		RetryFirst: storeRetry,
+		RetryMax:   storeRetryMax,
+		AskWait:    part(lifetime, askPart),
+		AskTimeout: askTimeout,
+		AskAge:     part(lifetime, askAgePart),
+	}
+}
+
 // retryShare gives half of the allowed ratio to the retries towards a service, and half to the calls that are repeated
 // by retries towards the services above it.
 func retryShare(ratio float64) budgeter.Share {
--- a/internal/app/assembler/settings.go
+++ b/internal/app/assembler/settings.go
@@ -7,6 +7,20 @@
 	"github.com/chivegauge/chivegauge"
 )
 
+// Bounds are the limits that may change while a node runs.
+type Bounds struct {
+	// KeyLifetime is the time within which a withdrawn key must have stopped working everywhere.
+	KeyLifetime time.Duration
+
+	// StopTime is the time from the request to stop until the process is killed.
+	StopTime time.Duration
+
+	// RetryRatio and RetrySlack bound the further arrivals at a service, of all nodes together, to a share
+	// of its requests and a number in the window of retries.
+	RetryRatio float64
+	RetrySlack float64
+}
+
 // Settings are what a node is told when it starts.
 type Settings struct {
 	// Name names the node in its log.
@@ -27,16 +41,10 @@
 	// MemoryBytes is what the process may use.
 	MemoryBytes int64
 
-	// KeyLifetime is the time within which a withdrawn key must have stopped working everywhere.
-	KeyLifetime time.Duration
+	// Bounds are the limits that may change while the node runs.
+	Bounds Bounds
 
-	// StopTime is the time from the request to stop until the process is killed.
-	StopTime time.Duration
-
-	// RetryRatio and RetrySlack bound the further arrivals at a service, of all nodes together, to a share
-	// of its requests and a number in RetryWindow.
-	RetryRatio  float64
-	RetrySlack  float64
+	// RetryWindow is the time over which retries are counted.
 	RetryWindow time.Duration
 
 	// FirstStart says that no node of the fleet has run before.
--- a/internal/app/assembler/stop.go
+++ b/internal/app/assembler/stop.go
@@ -31,11 +31,12 @@
 	n.log.Info().Int("Running", n.running()).Msg("node stopping")
 	n.callers.Drain()
 	n.tellStopping(ctx)
-	quiet := min(stopQuiet, n.settings.StopTime/2)
+	stopTime := n.bounds.Load().StopTime
+	quiet := min(stopQuiet, stopTime/2)
 	time.Sleep(time.Until(began.Add(quiet)))
 	_ = callers.Close()
 	n.guardian.Stop()
-	end := began.Add(n.settings.StopTime - stopMargin)
+	end := began.Add(stopTime - stopMargin)
 	for n.callers.CloseIdle(); n.running() > 0 && time.Now().Before(end); n.callers.CloseIdle() {
 		time.Sleep(stopPoll)
 	}
--- a/internal/cluster/freshener/freshener.go
+++ b/internal/cluster/freshener/freshener.go
@@ -58,6 +58,8 @@
 	Router() (router.Router, bool)
 	// Age returns the time since the configuration was proved to be the newest.
 	Age() time.Duration
+	// Configure sets the bounds of the calls.
+	Configure(cfg Config)
 	// Listen registers a function that is called with each configuration taken into force.
 	Listen(f func(router.Router))
 	// Tell answers another node once there is a version above the one that it has, or after the wait.
@@ -65,7 +67,7 @@
 }
 
 type freshener struct {
-	cfg       Config
+	cfg       atomic.Pointer[Config]
 	source    Source
 	log       zerolog.Logger
 	listeners []func(router.Router)
@@ -85,8 +87,7 @@
 
 // New returns a freshener without a configuration.
 func New(cfg Config, s Source, m Members, a Asker, log zerolog.Logger) Freshener {
-	return &freshener{
-		cfg:     cfg,
+	f := &freshener{
 		source:  s,
 		members: m,
 		asker:   a,
@@ -94,6 +95,13 @@
 		changed: make(chan struct{}),
 		missed:  map[string]time.Time{},
 	}
+	f.Configure(cfg)
+	return f
+}
+
+// Configure sets the bounds of the calls.
+func (f *freshener) Configure(cfg Config) {
+	f.cfg.Store(&cfg)
 }
 
 // Listen registers a listener; it must be called before Serve.
@@ -120,11 +128,11 @@
 
 // Serve reads, then awaits change after change.
 func (f *freshener) Serve(ctx context.Context) error {
-	pause := f.cfg.RetryFirst
+	pause := f.cfg.Load().RetryFirst
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if err == nil {
-			pause = f.cfg.RetryFirst
+			pause = f.cfg.Load().RetryFirst
 			continue
 		}
 		f.note(err)
@@ -132,7 +140,7 @@
 		case <-ctx.Done():
 		case <-time.After(pause/2 + rand.N(pause)):
 		}
-		pause = min(2*pause, f.cfg.RetryMax)
+		pause = min(2*pause, f.cfg.Load().RetryMax)
 	}
 	return ctx.Err()
 }
@@ -171,15 +179,16 @@
 	f.mu.Lock()
 	revision := f.revision
 	f.mu.Unlock()
+	cfg := f.cfg.Load()
 	_, known := f.Router()
 	if !known || revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+		ctx, cancel := context.WithTimeout(ctx, cfg.Timeout)
 		defer cancel()
 		return f.source.Read(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, cfg.Wait+cfg.Timeout)
 	defer cancel()
-	return f.source.Await(ctx, revision, f.cfg.Wait)
+	return f.source.Await(ctx, revision, cfg.Wait)
 }
 
 // accept takes a newer configuration into force; an older one changes nothing.
--- a/internal/cluster/freshener/sharing.go
+++ b/internal/cluster/freshener/sharing.go
@@ -54,11 +54,12 @@
 	if !ok {
 		return false
 	}
+	cfg := f.cfg.Load()
 	sent := timekeeper.Now()
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.AskWait+f.cfg.AskTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cfg.AskWait+cfg.AskTimeout)
 	defer cancel()
-	p, err := f.asker.Prove(ctx, m, r.Version(), f.cfg.AskWait)
-	if err != nil || p.Age > f.cfg.AskAge || p.Version < r.Version() {
+	p, err := f.asker.Prove(ctx, m, r.Version(), cfg.AskWait)
+	if err != nil || p.Age > cfg.AskAge || p.Version < r.Version() {
 		f.log.Info().Err(err).Str("Reader", m.Address).Dur("ProofAgeMs", p.Age).Uint64("Version", p.Version).Msg("no proof from the reader of the zone; reading the source")
 		f.mu.Lock()
 		f.missed[m.Address] = timekeeper.Now().Add(missPause)
--- a/internal/command/runner/sidecar.go
+++ b/internal/command/runner/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -16,5 +17,8 @@
 func (c *sidecarCommand) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return platform.Run(ctx, c.env.out)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	return platform.Run(ctx, c.env.out, reload)
 }
--- a/internal/policy/budgeter/window.go
+++ b/internal/policy/budgeter/window.go
@@ -14,6 +14,8 @@
 	Retry(now time.Time, destination string, ran bool) bool
 	// SetSlack sets the retries in a window that are allowed beyond the share.
 	SetSlack(slack float64)
+	// SetShare sets the share of retries.
+	SetShare(share Share)
 }
 
 // Share bounds retries to a ratio of the first attempts. A request that may have run repeats its nested calls, which
@@ -58,6 +60,11 @@
 	w.slack = slack
 }
 
+// SetShare sets the share of retries.
+func (w *window) SetShare(share Share) {
+	w.share = share
+}
+
 // at returns the counts of the destination, without what has left the window, and the index of the present part.
 func (w *window) at(now time.Time, destination string) (*counts, int) {
 	c := w.counts[destination]
--- a/internal/stream/forwarder/admit.go
+++ b/internal/stream/forwarder/admit.go
@@ -57,7 +57,7 @@
 	if key == "" && (route.Open || len(cfg.Workspaces()) == 0) {
 		return nil
 	}
-	if age := f.Config.Config.Age(); !route.Open && age > f.ProofMax {
+	if age := f.Config.Config.Age(); !route.Open && age > f.ProofMax() {
 		return chivegauge.Refuse(chivegauge.CodeNotReady, "the keys were proved valid "+age.Round(time.Millisecond).String()+" ago").WithRetryAfter(millis(retryAfter))
 	}
 	w, ok := cfg.Holder(key)
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -76,11 +76,8 @@
 	Log     zerolog.Logger
 	HoldMax int64
 
-	// RetrySlack is the number of retries in a window that all nodes together may send beyond the share.
-	RetrySlack float64
-
-	// ProofMax is the age of the proof up to which keys are taken as valid.
-	ProofMax time.Duration
+	// ProofMax returns the age of the proof up to which keys are taken as valid.
+	ProofMax func() time.Duration
 }
 
 // Forwarder answers the requests that begin at this node.
@@ -89,12 +86,16 @@
 	Handle(ctx context.Context, r *carrier.Request) *carrier.Answer
 	// Resize sets the number of nodes over which the slack of the retry budget is spread.
 	Resize(nodes int)
+	// SetRetries sets the share of retries, and the number in a window that all nodes together may send beyond it.
+	SetRetries(share budgeter.Share, slack float64)
 }
 
 type forwarder struct {
 	Config
 	mu       sync.Mutex
 	splitter splitter.Splitter
+	slack    float64
+	nodes    int
 }
 
 // New returns a forwarder of the parts.
@@ -102,6 +103,7 @@
 	return &forwarder{
 		Config:   cfg,
 		splitter: splitter.New(),
+		nodes:    1,
 	}
 }
 
@@ -109,7 +111,17 @@
 func (f *forwarder) Resize(nodes int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.Budget.SetSlack(f.RetrySlack / float64(max(1, nodes)))
+	f.nodes = max(1, nodes)
+	f.Budget.SetSlack(f.slack / float64(f.nodes))
+}
+
+// SetRetries sets the bounds of the retry budget.
+func (f *forwarder) SetRetries(share budgeter.Share, slack float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slack = slack
+	f.Budget.SetShare(share)
+	f.Budget.SetSlack(f.slack / float64(f.nodes))
 }
 
 // Handle admits the request, sends it and answers for the outcome.
--- a/internal/stream/forwarder/forwarder_test.go
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -118,7 +118,7 @@
 		Meter:    w,
 		Log:      zerolog.Nop(),
 		HoldMax:  1000,
-		ProofMax: 4 * time.Second,
+		ProofMax: func() time.Duration { return 4 * time.Second },
 	})
 }
 
