--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -59,6 +59,10 @@
 	answeredLines = 200
 	failedLines   = 300
 
+	// slotsPart is the part of the declared slots that is used: backend servers slow down when nearly all are taken, and
+	// connections and cancelled runs hold some for a moment.
+	slotsPart = 0.93
+
 	// queueMax is the number of requests that wait for the backend server, queueTime how long they may.
 	queueMax  = 128
 	queueTime = 150 * time.Millisecond
@@ -185,7 +189,7 @@
 // serve builds what carries requests.
 func (n *node) serve() {
 	s := n.settings
-	limit := limiter.NewDeclared()
+	limit := limiter.NewDeclared(slotsPart)
 	gate := gatekeeper.New(time.Now, limit, scheduler.New(queueMax), gatekeeper.WithMaxWait(queueTime))
 	backend := connector.New(connector.Config{
 		Address:     s.Backend,
--- a/internal/stream/guardian/guardian_test.go
+++ b/internal/stream/guardian/guardian_test.go
@@ -53,7 +53,7 @@
 }
 
 func newGuardian(b *backend) guardian.Guardian {
-	l := limiter.NewDeclared()
+	l := limiter.NewDeclared(1)
 	gate := gatekeeper.New(time.Now, l, scheduler.New(10), gatekeeper.WithMaxWait(20*time.Millisecond))
 	return guardian.New(chivegauge.OwnHeaderNames(), gate, l, b, zerolog.Nop())
 }
