Keep a departure that comes before the first report of the backend server

The departure is held as a start that leaves, with the time it was told where the start is not said, and kept through restarts.

--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -113,8 +113,8 @@
 	Ready() bool
 	// Report takes in what the backend server says; it returns once the node holds to it.
 	Report(ctx context.Context, r guardian.Report)
-	// Leave takes in that the backend server of the ID leaves without further reports.
-	Leave(ctx context.Context, instance string)
+	// Leave takes in that a start of the backend server leaves without further reports; born is 0 where it was not said.
+	Leave(ctx context.Context, instance string, born int64)
 	// Apply takes other bounds into force.
 	Apply(b Bounds)
 	// Meter returns the counters of the node.
--- a/internal/app/assembler/reports.go
+++ b/internal/app/assembler/reports.go
@@ -11,7 +11,7 @@
 // Report takes in a report; a change that other nodes must know is kept before the report is acknowledged.
 func (n *node) Report(ctx context.Context, r guardian.Report) {
 	before, known := n.guardian.Current()
-	if former, ok := n.members.Former(); ok && !known && former.Leaving && former.Instance == r.Instance && former.Born == r.Born {
+	if former, ok := n.members.Former(); ok && !known && former.Leaving && former.Instance == r.Instance && r.Born <= former.Born {
 		r = r.WithLeaving()
 	}
 	if !n.guardian.Report(time.Now(), r) {
@@ -26,12 +26,14 @@
 	n.publish(ctx, after)
 }
 
-// Leave takes in that the backend server leaves.
-func (n *node) Leave(ctx context.Context, instance string) {
-	if n.guardian.Leave(time.Now(), instance) {
-		after, _ := n.guardian.Current()
-		n.publish(ctx, after)
+// Leave takes in that a start of the backend server leaves.
+func (n *node) Leave(ctx context.Context, instance string, born int64) {
+	if !n.guardian.Leave(time.Now(), instance, born) {
+		n.log.Info().Str("Instance", instance).Int64("Born", born).Msg("departure of a backend server is no news")
+		return
 	}
+	after, _ := n.guardian.Current()
+	n.publish(ctx, after)
 }
 
 // publish tells the other nodes and the store what is beside this node.
--- a/internal/stream/guardian/guardian.go
+++ b/internal/stream/guardian/guardian.go
@@ -26,8 +26,9 @@
 	Run(ctx context.Context, c chivegauge.Call, r *carrier.Request) *carrier.Answer
 	// Report takes in what the backend server says, and reports whether it was news.
 	Report(now time.Time, r Report) bool
-	// Leave takes in that the backend server leaves without further reports.
-	Leave(now time.Time, instance string) bool
+	// Leave takes in that a start of the backend server leaves without further reports, and reports whether it was news;
+	// born is 0 where it was not said.
+	Leave(now time.Time, instance string, born int64) bool
 	// Current returns the last report, and whether there is one.
 	Current() (Report, bool)
 	// Load returns the running and waiting requests and the limit.
@@ -86,14 +87,34 @@
 	g.gate.SetDraining(r.Leaving)
 }
 
-// Leave takes in that the backend server of the ID leaves.
-func (g *guardian) Leave(_ time.Time, instance string) bool {
+// Leave takes in that a start of the backend server leaves, also one that has not reported here: a report of it may be
+// on its way still.
+func (g *guardian) Leave(now time.Time, instance string, born int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.known || g.report.Instance != instance || g.report.Leaving {
+	same := g.known && g.report.Instance == instance
+	left := Report{
+		Instance: instance,
+		Born:     born,
+		Leaving:  true,
+	}
+	switch {
+	case born != 0:
+	case same:
+		left.Born = g.report.Born
+	case !g.known:
+		left.Born = now.UnixMilli()
+	}
+	switch {
+	case g.known && left.SameStart(g.report):
+		left = g.report.WithLeaving()
+		if g.report.Leaving {
+			return false
+		}
+	case g.known && !left.Newer(g.report):
 		return false
 	}
-	g.take(g.report.WithLeaving())
+	g.take(left)
 	return true
 }
 
--- a/internal/stream/guardian/guardian_test.go
+++ b/internal/stream/guardian/guardian_test.go
@@ -131,8 +131,8 @@
 	now := time.Unix(1000, 0)
 	g.Report(now, report("i-1", 100, 5))
 	is.Equal(g.Run(context.Background(), call(), request()).Refusal, nil)
-	is.True(g.Leave(now, "i-1"))
-	is.True(!g.Leave(now, "i-1"))
+	is.True(g.Leave(now, "i-1", 0))
+	is.True(!g.Leave(now, "i-1", 0))
 	g.Report(now, report("i-1", 100, 6))
 	a := g.Run(context.Background(), call(), request())
 	is.Equal(a.Refusal.Code, chivegauge.CodeDraining)
@@ -142,6 +142,44 @@
 	is.Equal(g.Run(context.Background(), call(), request()).Refusal, nil)
 }
 
+// TestDepartures states which start is given no work after a departure, whatever was reported before and after it.
+func TestDepartures(t *testing.T) {
+	at := time.UnixMilli(1000)
+	tests := map[string]struct {
+		before  []guardian.Report
+		left    string
+		born    int64
+		after   []guardian.Report
+		news    bool
+		leaving bool
+	}{
+		"the one here":                   {before: []guardian.Report{report("i-1", 100, 5)}, left: "i-1", born: 100, news: true, leaving: true},
+		"the one here, start not said":   {before: []guardian.Report{report("i-1", 100, 5)}, left: "i-1", news: true, leaving: true},
+		"before any report":              {left: "i-1", born: 100, after: []guardian.Report{report("i-1", 100, 24)}, news: true, leaving: true},
+		"before any, start not said":     {left: "i-1", after: []guardian.Report{report("i-1", 100, 24)}, news: true, leaving: true},
+		"before any, then another start": {left: "i-1", born: 100, after: []guardian.Report{report("i-2", 1200, 1)}, news: true},
+		"the same ID starts again":       {left: "i-1", born: 100, after: []guardian.Report{report("i-1", 1200, 1)}, news: true},
+		"an earlier start":               {before: []guardian.Report{report("i-2", 200, 5)}, left: "i-1", born: 100},
+		"another one, start not said":    {before: []guardian.Report{report("i-2", 200, 5)}, left: "i-1"},
+		"a later start":                  {before: []guardian.Report{report("i-1", 100, 5)}, left: "i-2", born: 200, after: []guardian.Report{report("i-2", 200, 3)}, news: true, leaving: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGuardian(&backend{})
+			for _, r := range tt.before {
+				is.True(g.Report(at, r))
+			}
+			is.Equal(g.Leave(at, tt.left, tt.born), tt.news)
+			for _, r := range tt.after {
+				g.Report(at, r)
+			}
+			got, _ := g.Current()
+			is.Equal(got.Leaving, tt.leaving)
+		})
+	}
+}
+
 // TestOutcomes states what is said of a run by how its exchange ended.
 func TestOutcomes(t *testing.T) {
 	tests := map[string]struct {
