Run the request with least time left first at the gate

Cause: under overload of a deep service, calls of trees near their end and of trees just begun were refused alike, so that most trees failed after some of their calls had run. A call carries what is left of its parent's time, so less time left means an older tree.

--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -14,6 +16,9 @@
 	Importance chivegauge.Importance
 	Queued     time.Time
 	Expires    time.Time
+
+	// Deadline is when the caller no longer waits for an answer; items of a workspace with less time left run first.
+	Deadline time.Time
 }
 
 // Scheduler is a bounded queue of waiting requests.
@@ -30,7 +35,7 @@
 	Len() int
 }
 
-// line is the waiting items of one workspace, oldest first.
+// line is the waiting items of one workspace, by deadline, then oldest first.
 type line struct {
 	workspace string
 	items     []Item
@@ -71,7 +76,8 @@
 		}
 		s.ranks[it.Importance] = append(s.ranks[it.Importance], l)
 	}
-	l.items = append(l.items, it)
+	at := sort.Search(len(l.items), func(n int) bool { return l.items[n].Deadline.After(it.Deadline) })
+	l.items = slices.Insert(l.items, at, it)
 	s.len++
 }
 
@@ -84,7 +90,7 @@
 	return nil
 }
 
-// evict removes the newest item of the longest line in the lowest importance.
+// evict removes the item with most time left of the longest line in the lowest importance.
 func (s *scheduler) evict(pushed Item) Item {
 	for rank := range s.ranks {
 		longest := longestLine(s.ranks[rank])
@@ -140,7 +146,7 @@
 	return Item{}, expired, false
 }
 
-// take removes the oldest item of the first line and moves the line to the back.
+// take removes the first item of the first line and moves the line to the back.
 func (s *scheduler) take(rank int) Item {
 	first := s.ranks[rank][0]
 	it := first.items[0]
--- a/internal/policy/scheduler/scheduler_test.go
+++ b/internal/policy/scheduler/scheduler_test.go
@@ -16,7 +16,7 @@
 }
 
 // TestOrder drives a small queue beside a plain list: nothing is lost, nothing runs twice or late, the most important
-// runs first, the least important is refused first.
+// runs first, of one workspace that with least time left, the least important is refused first.
 func TestOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const capacity = 6
@@ -44,6 +44,7 @@
 					Importance: chivegauge.Importance(rapid.IntRange(0, 3).Draw(t, "importance")),
 					Queued:     now,
 					Expires:    now.Add(time.Duration(rapid.IntRange(1, 5).Draw(t, "seconds")) * time.Second),
+					Deadline:   now.Add(time.Duration(rapid.IntRange(1, 9).Draw(t, "left")) * time.Second),
 				}
 				waiting[id] = it
 				victim, full := queue.Push(it)
@@ -56,6 +57,11 @@
 					}
 				}
 				gone(victim)
+				for _, other := range waiting {
+					if alike(victim, other) && other.Deadline.After(victim.Deadline) {
+						t.Fatalf("item %d was refused while %d, which has more time left, waits", victim.ID, other.ID)
+					}
+				}
 			},
 			"pop": func(t *rapid.T) {
 				it, expired, ok := queue.Pop(now)
@@ -73,6 +79,9 @@
 					if other.Importance > it.Importance && now.Before(other.Expires) {
 						t.Fatalf("importance %s ran before %s", it.Importance, other.Importance)
 					}
+					if alike(it, other) && now.Before(other.Expires) && other.Deadline.Before(it.Deadline) {
+						t.Fatalf("item %d ran before %d, which has less time left", it.ID, other.ID)
+					}
 				}
 			},
 			"remove": func(t *rapid.T) {
@@ -93,3 +102,8 @@
 		})
 	})
 }
+
+// alike reports whether only the time left orders the items.
+func alike(a, b scheduler.Item) bool {
+	return a.Workspace == b.Workspace && a.Importance == b.Importance
+}
--- a/internal/request/gatekeeper/gatekeeper.go
+++ b/internal/request/gatekeeper/gatekeeper.go
@@ -131,6 +131,7 @@
 		Workspace:  c.Workspace,
 		Importance: c.Importance,
 		Queued:     now,
+		Deadline:   c.Deadline,
 		Expires:    earlier(c.Deadline, now.Add(g.maxWait)),
 	}
 	ch := make(chan verdict, 1)
