--- a/internal/cluster/freshener/freshener.go
+++ b/internal/cluster/freshener/freshener.go
@@ -135,6 +135,9 @@
 			pause = f.cfg.Load().RetryFirst
 			continue
 		}
+		if ctx.Err() != nil {
+			break
+		}
 		f.note(err)
 		select {
 		case <-ctx.Done():
--- a/internal/stream/courier/courier.go
+++ b/internal/stream/courier/courier.go
@@ -44,6 +44,9 @@
 	if errors.As(err, &failed) && !failed.Sent {
 		return carrier.Refusal(chivegauge.Refuse(chivegauge.CodeUnreachable, "the node can't be reached: "+err.Error())), picker.Load{}
 	}
+	if ctx.Err() != nil && call.Budget(time.Now()) > 0 {
+		return carrier.Refusal(chivegauge.Unknown(chivegauge.CodeCancelled, "the caller left while the other node had the request")), picker.Load{}
+	}
 	if ctx.Err() != nil {
 		return carrier.Refusal(chivegauge.Unknown(chivegauge.CodeDeadline, "no answer in time")), picker.Load{}
 	}
--- /dev/null
+++ b/internal/stream/courier/courier_test.go
@@ -0,0 +1,51 @@
+package courier_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/stream/carrier"
+	"github.com/chivegauge/chivegauge/internal/stream/courier"
+	"github.com/matryer/is"
+)
+
+// TestUnanswered states what is said of a request that the other node has not answered when it ends.
+func TestUnanswered(t *testing.T) {
+	tests := map[string]struct {
+		deadline time.Duration
+		cancel   time.Duration
+		code     chivegauge.Code
+	}{
+		"the caller left":     {deadline: time.Minute, cancel: 20 * time.Millisecond, code: chivegauge.CodeCancelled},
+		"the deadline passed": {deadline: 10 * time.Millisecond, cancel: 30 * time.Millisecond, code: chivegauge.CodeDeadline},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			silent, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { is.NoErr(silent.Close()) }()
+			ctx, cancel := context.WithTimeout(context.Background(), tt.cancel)
+			defer cancel()
+			c := courier.New(courier.Config{
+				DialTimeout: time.Second,
+			})
+			a, _ := c.Carry(ctx, chivegauge.Member{
+				Address: silent.Addr().String(),
+			}, chivegauge.Call{
+				RequestID: "1",
+				Deadline:  time.Now().Add(tt.deadline),
+			}, &carrier.Request{
+				Method: http.MethodGet,
+				Target: "/",
+				Header: http.Header{},
+			})
+			is.Equal(a.Refusal.Code, tt.code)
+			is.Equal(a.Refusal.Run, chivegauge.MayHaveRun)
+		})
+	}
+}
