--- a/internal/app/supervisor/stop.go
+++ b/internal/app/supervisor/stop.go
@@ -12,6 +12,9 @@
 	tellTime  = 1500 * time.Millisecond
 	drainMax  = 60 * time.Second
 	drainPoll = 20 * time.Millisecond
+
+	// leftTime is how long a node that has left passes on what nodes send it that have not heard of that yet.
+	leftTime = 500 * time.Millisecond
 )
 
 // stop tells the peers first, then refuses new work, then waits for what runs, then leaves.
@@ -34,7 +37,7 @@
 	if err := v.parts.announcer.Withdraw(ctx); err != nil {
 		v.log.Warn().Err(err).Msg("announcement not withdrawn")
 	}
-	pause(ctx, drainPoll)
+	pause(ctx, leftTime)
 	v.stage.Fire(stager.Drained)
 }
 
