--- a/internal/cluster/freshener/freshener.go
+++ b/internal/cluster/freshener/freshener.go
@@ -130,24 +130,25 @@
 func (f *freshener) Serve(ctx context.Context) error {
 	pause := f.cfg.Load().RetryFirst
 	for ctx.Err() == nil {
-		err := f.step(ctx)
-		if err == nil {
-			pause = f.cfg.Load().RetryFirst
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			f.note(err)
+			pause = f.rest(ctx, pause)
 			continue
 		}
-		if ctx.Err() != nil {
-			break
-		}
-		f.note(err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
-		}
-		pause = min(2*pause, f.cfg.Load().RetryMax)
+		pause = f.cfg.Load().RetryFirst
 	}
 	return ctx.Err()
 }
 
+// rest waits about the pause after a failed call and returns the next one.
+func (f *freshener) rest(ctx context.Context, pause time.Duration) time.Duration {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause/2 + rand.N(pause)):
+	}
+	return min(2*pause, f.cfg.Load().RetryMax)
+}
+
 // step asks the node that reads for this zone, or the source itself.
 func (f *freshener) step(ctx context.Context) error {
 	if m, ok := f.reader(); ok && f.ask(ctx, m) {
