--- a/internal/cluster/registrar/registrar_test.go
+++ b/internal/cluster/registrar/registrar_test.go
@@ -191,10 +191,40 @@
 		record registrar.Record
 		newer  bool
 	}{
-		"same":          {record: registrar.Record{Member: chivegauge.Member{Incarnation: 2}, Change: 5}},
-		"later change":  {record: registrar.Record{Member: chivegauge.Member{Incarnation: 2}, Change: 6}, newer: true},
-		"later process": {record: registrar.Record{Member: chivegauge.Member{Incarnation: 3}, Change: 1}, newer: true},
-		"earlier one":   {record: registrar.Record{Member: chivegauge.Member{Incarnation: 1}, Change: 9}},
+		"same": {
+			record: registrar.Record{
+				Member: chivegauge.Member{
+					Incarnation: 2,
+				},
+				Change: 5,
+			},
+		},
+		"later change": {
+			record: registrar.Record{
+				Member: chivegauge.Member{
+					Incarnation: 2,
+				},
+				Change: 6,
+			},
+			newer: true,
+		},
+		"later process": {
+			record: registrar.Record{
+				Member: chivegauge.Member{
+					Incarnation: 3,
+				},
+				Change: 1,
+			},
+			newer: true,
+		},
+		"earlier one": {
+			record: registrar.Record{
+				Member: chivegauge.Member{
+					Incarnation: 1,
+				},
+				Change: 9,
+			},
+		},
 	}
 	known := registrar.Record{
 		Member: chivegauge.Member{
--- a/internal/policy/divider/divider.go
+++ b/internal/policy/divider/divider.go
@@ -16,9 +16,6 @@
 	Take(now time.Time, workspace string, want int) (taken int, wait time.Duration)
 }
 
-// forever is the wait where no token will come.
-const forever = time.Hour
-
 type bucket struct {
 	rate  float64
 	burst float64
@@ -87,8 +84,5 @@
 	b.fill(now)
 	taken := min(want, int(b.level))
 	b.level -= float64(taken)
-	if b.rate <= 0 {
-		return taken, forever
-	}
 	return taken, time.Duration(max(0, 1-b.level) / b.rate * float64(time.Second))
 }
--- a/internal/stream/forwarder/forwarder_test.go
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -106,6 +106,10 @@
 }
 
 func (w *world) forwarder(ratio float64) forwarder.Forwarder {
+	share := budgeter.Share{
+		All: ratio,
+		Ran: ratio,
+	}
 	return forwarder.New(forwarder.Config{
 		Names:    chivegauge.OwnHeaderNames(),
 		Config:   w,
@@ -114,7 +118,7 @@
 		Local:    w,
 		Remote:   w,
 		Picker:   picker.NewRoundRobin(),
-		Budget:   budgeter.NewWindow(budgeter.Share{All: ratio, Ran: ratio}, 0, time.Minute),
+		Budget:   budgeter.NewWindow(share, 0, time.Minute),
 		Meter:    w,
 		Log:      zerolog.Nop(),
 		HoldMax:  1000,
