Hear a process whose clock was set back; repair its record; count retries by the steady clock

Cause: the incarnation of a process is its start by the time of day, so that the record of a process that started after the clock was set back was older than the one before it and ignored by all nodes. The window of retries slid with the time of day: a step forward emptied it. A record whose write failed was written again only with its next change, and a late call of the store could leave an earlier record in place. Tests fail without each change: TestClockSetBack, TestRecordIsRepaired, TestRetriesFollowTheSteadyClock.

--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -76,6 +76,9 @@
 	listYoungPeriod = 500 * time.Millisecond
 	listYoung       = 6 * time.Second
 
+	// listStaleMax is above the seconds by which a list that may be stale can be late.
+	listStaleMax = 10 * time.Second
+
 	headerBytes   = 64 << 10
 	bodyBytes     = 64 << 20
 	headerTimeout = 10 * time.Second
@@ -157,6 +160,7 @@
 		Period:      listPeriod,
 		YoungPeriod: listYoungPeriod,
 		Young:       listYoung,
+		StaleMax:    listStaleMax,
 		RetryMax:    storeRetryMax,
 	}, stores.Records, t, own, n.log)
 	n.config = freshener.New(proofTimes(s.Bounds.KeyLifetime), stores.Configuration, n.members, t, n.log)
@@ -200,6 +204,7 @@
 		HoldBytes:   holdBytes,
 	})
 	n.forward = forwarder.New(forwarder.Config{
+		Now:      timekeeper.Now,
 		Names:    s.Names,
 		Config:   n.config,
 		Members:  n.members,
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -34,6 +34,9 @@
 	YoungPeriod time.Duration
 	Young       time.Duration
 
+	// StaleMax is how long after a write a list may still lack it.
+	StaleMax time.Duration
+
 	// RetryMax bounds the pause after a failed call.
 	RetryMax time.Duration
 }
@@ -81,6 +84,10 @@
 	former  *Record
 	records map[string]Record
 	lost    bool
+
+	// stored is the change of the own record that the store has acknowledged, at storedAt.
+	stored   uint64
+	storedAt time.Time
 }
 
 // New returns a registrar of the node.
@@ -189,15 +196,49 @@
 	}
 	r.publish()
 	if !first {
-		return nil
+		return r.repair(ctx, list)
 	}
 	r.known.Store(true)
-	return r.Change(ctx, r.inherit)
+	return r.Change(ctx, r.succeed)
+}
+
+// repair writes the own record again if the store did not acknowledge it, or if a late call of this process has put an
+// earlier one in its place.
+func (r *registrar) repair(ctx context.Context, list []Record) error {
+	r.writes.Lock()
+	defer r.writes.Unlock()
+	r.mu.Lock()
+	own := r.own
+	due := r.stored != own.Change || (time.Since(r.storedAt) > r.cfg.StaleMax && !holds(list, own))
+	r.mu.Unlock()
+	if !due {
+		return nil
+	}
+	return r.put(ctx, own)
+}
+
+// holds reports whether the list has the record.
+func holds(list []Record, own Record) bool {
+	for _, rec := range list {
+		if rec.Member.Address == own.Member.Address {
+			return !own.Newer(rec)
+		}
+	}
+	return false
+}
+
+// succeed makes the own record replace that of an earlier process.
+func (r *registrar) succeed(rec Record) Record {
+	if r.former == nil {
+		return rec
+	}
+	rec.Member = rec.Member.Succeeding(r.former.Member)
+	return r.inherit(rec)
 }
 
 // inherit keeps in the record that a backend server leaves, until another start of it reports.
 func (r *registrar) inherit(rec Record) Record {
-	if r.former == nil || !r.former.Leaving || rec.Instance != "" {
+	if !r.former.Leaving || rec.Instance != "" {
 		return rec
 	}
 	rec.Instance = r.former.Instance
@@ -275,9 +316,21 @@
 	if !r.Known() {
 		return nil
 	}
+	return r.put(ctx, own)
+}
+
+// put writes the own record; r.writes is held.
+func (r *registrar) put(ctx context.Context, own Record) error {
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.Timeout)
 	defer cancel()
-	return r.store.Put(ctx, own)
+	if err := r.store.Put(ctx, own); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stored = own.Change
+	r.storedAt = time.Now()
+	return nil
 }
 
 // tell sends the record to the nodes without waiting for them.
--- a/internal/cluster/registrar/registrar_test.go
+++ b/internal/cluster/registrar/registrar_test.go
@@ -106,6 +106,7 @@
 		YoungPeriod: 5 * time.Millisecond,
 		Young:       time.Second,
 		RetryMax:    20 * time.Millisecond,
+		StaleMax:    50 * time.Millisecond,
 	}, f.store, f, r, zerolog.New(io.Discard))
 	f.mu.Lock()
 	f.nodes[r.Member.Address] = n
@@ -185,6 +186,42 @@
 	})
 }
 
+// TestClockSetBack states that a process is heard whose clock is behind that of the process before it.
+func TestClockSetBack(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	before := record("a", chivegauge.FirstIncarnation(3000))
+	before.Change = 4
+	before.Instance = "i-a"
+	before.Member.State = chivegauge.Draining
+	is.NoErr(f.store.Put(context.Background(), before))
+	other := f.start(t, record("b", 1))
+	eventually(t, "the list", other.Known)
+	is.Equal(len(other.Service("booking")), 0)
+	n := f.start(t, record("a", chivegauge.FirstIncarnation(1000)))
+	is.NoErr(n.Change(context.Background(), with("i-a", false)))
+	eventually(t, "the next process among the members", func() bool { return len(other.Service("booking")) == 1 })
+}
+
+// TestRecordIsRepaired states that a record reaches the store after a failed call, and again after an earlier one took
+// its place.
+func TestRecordIsRepaired(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	n := f.start(t, record("a", 1))
+	eventually(t, "the list", n.Known)
+	stored := func() bool {
+		list, err := f.store.List(context.Background(), false)
+		return err == nil && len(list) == 1 && list[0].Leaving
+	}
+	f.store.setDown(true)
+	is.True(n.Change(context.Background(), with("i-a", true)) != nil)
+	f.store.setDown(false)
+	eventually(t, "the record after the outage", stored)
+	is.NoErr(f.store.Put(context.Background(), record("a", 1)))
+	eventually(t, "the record after a late call", stored)
+}
+
 // TestNewer states which record of an address replaces another.
 func TestNewer(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -64,6 +64,9 @@
 
 // Config is what a forwarder is built of.
 type Config struct {
+	// Now returns the time by which retries are counted, suspension of the instance included.
+	Now func() time.Time
+
 	Names   chivegauge.HeaderNames
 	Config  Configuration
 	Members Members
@@ -205,7 +208,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	service := f.splitter.Choose(route)
-	f.Budget.First(time.Now(), service)
+	f.Budget.First(f.Now(), service)
 	return service
 }
 
@@ -213,5 +216,5 @@
 func (f *forwarder) paid(service string, ran bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.Budget.Retry(time.Now(), service, ran)
+	return f.Budget.Retry(f.Now(), service, ran)
 }
--- a/internal/stream/forwarder/forwarder_test.go
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -20,6 +20,7 @@
 
 // world is what a forwarder sees: a configuration, members, rates and answers of other nodes in turn.
 type world struct {
+	now     time.Time
 	router  router.Router
 	age     time.Duration
 	members int
@@ -83,6 +84,7 @@
 func newWorld(answers ...func() *carrier.Answer) *world {
 	high := chivegauge.Critical
 	return &world{
+		now:     time.Unix(1000, 0),
 		members: 3,
 		answers: answers,
 		router: router.New(router.Document{
@@ -111,6 +113,7 @@
 		Ran: ratio,
 	}
 	return forwarder.New(forwarder.Config{
+		Now:      func() time.Time { return w.now },
 		Names:    chivegauge.OwnHeaderNames(),
 		Config:   w,
 		Members:  w,
@@ -186,6 +189,20 @@
 	}
 }
 
+// TestRetriesFollowTheSteadyClock states that retries are counted by the clock that does not step with the time of day.
+func TestRetriesFollowTheSteadyClock(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(answered(http.StatusInternalServerError))
+	f := w.forwarder(0.25)
+	for range 8 {
+		f.Handle(context.Background(), request("/write/1", "k1"))
+	}
+	w.now = w.now.Add(time.Hour)
+	w.calls = nil
+	f.Handle(context.Background(), request("/read/1", "k1"))
+	is.Equal(len(w.calls), 1) // what was sent an hour before allows no retry
+}
+
 // TestAdmission states what is refused before anything is sent.
 func TestAdmission(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/telemetry/meter/meter.go
+++ b/internal/telemetry/meter/meter.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -36,8 +38,27 @@
 	Handler() http.Handler
 }
 
+// outcome names a series of requests.
+type outcome struct {
+	workspace string
+	route     string
+	code      string
+}
+
+// series are the attributes of an outcome, made once.
+type series struct {
+	requests metric.MeasurementOption
+	duration metric.MeasurementOption
+}
+
+// seriesMax is the number of outcomes whose attributes are kept, above the product of the routes, workspaces and codes
+// that are in use at a time.
+const seriesMax = 4096
+
 type meter struct {
 	registry *prometheus.Registry
+	series   sync.Map
+	kept     atomic.Int64
 	meter    metric.Meter
 	requests metric.Int64Counter
 	restarts metric.Int64Counter
@@ -92,13 +113,32 @@
 	if refusal != nil {
 		code = string(refusal.Code)
 	}
-	set := metric.WithAttributeSet(attribute.NewSet(
-		attribute.String("workspace", workspace),
-		attribute.String("route", route),
-		attribute.String("code", code),
-	))
-	m.requests.Add(context.Background(), 1, set)
-	m.duration.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("route", route)))
+	s := m.of(outcome{
+		workspace: workspace,
+		route:     route,
+		code:      code,
+	})
+	m.requests.Add(context.Background(), 1, s.requests)
+	m.duration.Record(context.Background(), took.Seconds(), s.duration)
+}
+
+// of returns the attributes of the outcome.
+func (m *meter) of(o outcome) *series {
+	if s, ok := m.series.Load(o); ok {
+		return s.(*series)
+	}
+	s := &series{
+		requests: metric.WithAttributeSet(attribute.NewSet(
+			attribute.String("workspace", o.workspace),
+			attribute.String("route", o.route),
+			attribute.String("code", o.code),
+		)),
+		duration: metric.WithAttributeSet(attribute.NewSet(attribute.String("route", o.route))),
+	}
+	if m.kept.Add(1) <= seriesMax {
+		m.series.Store(o, s)
+	}
+	return s
 }
 
 // Restarted counts a part that was started again.
--- a/member.go
+++ b/member.go
@@ -66,6 +66,15 @@
 	return uint64(startMs) << refutationBits
 }
 
+// Succeeding returns the member with an incarnation above that of an earlier process at its address, whose clock may
+// have been ahead.
+func (m Member) Succeeding(earlier Member) Member {
+	if m.Incarnation > earlier.Incarnation {
+		return m
+	}
+	return m.WithIncarnation((earlier.Process() + 1) << refutationBits)
+}
+
 // Process returns the part of the incarnation that stays the same while a process lives.
 func (m Member) Process() uint64 {
 	return m.Incarnation >> refutationBits
