Refuse requests that kill one backend server after the other; leave members out that can't be reached; weigh failed runs

Deaths of backend servers (broken off, then the port closed or a later start) are counted against the requests that ran there, over all nodes; from the third one without a survival in between the request is refused as not run (503). The share of the latest runs that failed rides on each answer and raises a member's cost. A connection that can't be made leaves a member out at once.

--- a/call.go
+++ b/call.go
@@ -57,6 +57,14 @@
 	return xxhash.Sum64String(requestID)
 }
 
+// Fingerprint returns a hash that requests share which ask the same for the same workspace.
+func Fingerprint(workspace, route, method, target string, body []byte) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(workspace + "|" + route + "|" + method + " " + target + "\n")
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
 // WithForwards returns the call as one sent n times towards the owner of its idempotency key.
 func (c Call) WithForwards(n int) Call {
 	c.Forwards = n
--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -18,6 +18,7 @@
 	"github.com/chivegauge/chivegauge/internal/request/drawer"
 	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
 	"github.com/chivegauge/chivegauge/internal/request/router"
+	"github.com/chivegauge/chivegauge/internal/request/suspector"
 	"github.com/chivegauge/chivegauge/internal/stream/acceptor"
 	"github.com/chivegauge/chivegauge/internal/stream/connector"
 	"github.com/chivegauge/chivegauge/internal/stream/courier"
@@ -118,6 +119,7 @@
 	members  registrar.Registrar
 	guardian guardian.Guardian
 	drawer   drawer.Drawer
+	suspects suspector.Suspector
 	callers  acceptor.Acceptor
 	peers    acceptor.Acceptor
 	stopping chan struct{}
@@ -169,6 +171,7 @@
 		initial = 1
 	}
 	n.drawer = drawer.New(timekeeper.Now, n.members, t, initial)
+	n.suspects = suspector.New(n.members, t, n.log)
 	n.config.Listen(func(r router.Router) { n.drawer.Configure(r.Workspaces()) })
 	n.members.Listen(n.drawer.Resize)
 }
@@ -195,7 +198,7 @@
 			Period: time.Second,
 		},
 	})
-	n.guardian = guardian.New(s.Names, gate, limit, backend, requests)
+	n.guardian = guardian.New(s.Names, gate, limit, backend, n.suspects, requests)
 	remote := courier.New(courier.Config{
 		DialTimeout: dialTimeout,
 		Silence:     peerSilence,
@@ -225,6 +228,7 @@
 		records:  n.members,
 		drawer:   n.drawer,
 		config:   n.config,
+		suspects: n.suspects,
 		ready:    n.Ready,
 		receiver: courier.NewReceiver(s.Names, n.guardian, holdBytes),
 	}, peerLimits)
@@ -299,6 +303,7 @@
 	group.Go(func() error { return n.journal.Serve(inner) })
 	group.Go(func() error { return n.config.Serve(inner) })
 	group.Go(func() error { return n.members.Serve(inner) })
+	group.Go(func() error { return n.suspects.Serve(inner) })
 	group.Go(func() error { return n.callers.Serve(inner, callers) })
 	group.Go(func() error { return n.peers.Serve(inner, peers) })
 	group.Go(func() error {
--- a/internal/app/assembler/peers.go
+++ b/internal/app/assembler/peers.go
@@ -11,6 +11,7 @@
 	"github.com/chivegauge/chivegauge/internal/cluster/freshener"
 	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
 	"github.com/chivegauge/chivegauge/internal/request/drawer"
+	"github.com/chivegauge/chivegauge/internal/request/suspector"
 	"github.com/chivegauge/chivegauge/internal/stream/carrier"
 	"github.com/chivegauge/chivegauge/internal/stream/connector"
 	"github.com/chivegauge/chivegauge/internal/stream/courier"
@@ -22,6 +23,7 @@
 	headerRecord = chivegauge.HeaderPrefix + "Record"
 	headerDraw   = chivegauge.HeaderPrefix + "Draw"
 	headerProve  = chivegauge.HeaderPrefix + "Prove"
+	headerBlame  = chivegauge.HeaderPrefix + "Blame"
 )
 
 // peers answers what other nodes send: records, draws, and requests for the backend server.
@@ -29,6 +31,7 @@
 	records  registrar.Registrar
 	drawer   drawer.Drawer
 	config   freshener.Freshener
+	suspects suspector.Suspector
 	ready    func() bool
 	receiver *courier.Receiver
 }
@@ -44,6 +47,8 @@
 		out, err = p.give(r)
 	case r.Header.Get(headerProve) != "":
 		out, err = p.prove(ctx, r)
+	case r.Header.Get(headerBlame) != "":
+		err = p.blame(r)
 	default:
 		return p.receiver.Handle(ctx, r)
 	}
@@ -101,7 +106,16 @@
 	return p.config.Tell(ctx, q.Have, q.Wait), nil
 }
 
-// teller sends records and draws to other nodes.
+func (p *peers) blame(r *carrier.Request) error {
+	n := suspector.News{}
+	if err := json.NewDecoder(r.Body).Decode(&n); err != nil {
+		return errors.Wrap(err, "decode deaths")
+	}
+	p.suspects.Learn(time.Now(), n)
+	return nil
+}
+
+// teller sends records, draws and news to other nodes.
 type teller struct {
 	peers *connector.Pool
 }
@@ -138,6 +152,11 @@
 	return p, t.send(ctx, m, headerProve, q, &p)
 }
 
+// Suspect tells the member of deaths of backend servers.
+func (t *teller) Suspect(ctx context.Context, m chivegauge.Member, n suspector.News) error {
+	return t.send(ctx, m, headerBlame, n, nil)
+}
+
 // send sends a message and decodes the answer into out, if there is one.
 func (t *teller) send(ctx context.Context, m chivegauge.Member, mark string, in, out any) error {
 	b, err := json.Marshal(in)
--- a/internal/policy/picker/picker.go
+++ b/internal/policy/picker/picker.go
@@ -20,6 +20,13 @@
 	ejectMax        = 30 * time.Second
 	choicesPerZone  = 2
 	observedMax     = 20000
+
+	// failingPenalty raises the cost of a member by the share of its runs that fail: at a sixth of them, another zone
+	// costs as much.
+	failingPenalty = 2.0
+
+	// failingHalf is the time in which the known share of failed runs counts half, so that the member is tried again.
+	failingHalf = 2 * time.Second
 )
 
 // Outcome is what one attempt at a backend server showed.
@@ -30,6 +37,8 @@
 	Succeeded Outcome = iota
 	Refused
 	Failed
+	// Unreached is an attempt for which no connection to the member's node could be made.
+	Unreached
 )
 
 // Load is what a backend server's node said of its running requests.
@@ -37,6 +46,9 @@
 	Running int
 	Waiting int
 	Limit   int
+
+	// Failing is the share of the latest runs that failed, from 0 to 1.
+	Failing float64
 }
 
 // Random returns a number in [0, n).
@@ -176,6 +188,10 @@
 	if age := now.Sub(o.first); age < slowStart {
 		cost *= 1 + slowStartFactor*(1-float64(age)/float64(slowStart))
 	}
+	if o.load.Failing > 0 {
+		halves := now.Sub(o.loadAt).Seconds() / failingHalf.Seconds()
+		cost += failingPenalty * o.load.Failing * math.Exp2(-halves)
+	}
 	return cost + p.distance(m)
 }
 
@@ -206,16 +222,23 @@
 		o.load = load
 		o.loadAt = now
 	}
-	if outcome != Failed {
+	switch outcome {
+	case Succeeded:
 		o.failures = 0
-		if outcome == Succeeded {
-			o.ejects = 0
-		}
+		o.ejects = 0
 		return
-	}
-	o.failures++
-	if o.failures < ejectFailures {
+	case Refused:
+		o.failures = 0
 		return
+	case Failed:
+		o.failures++
+		if o.failures < ejectFailures {
+			return
+		}
+	case Unreached:
+		if now.Before(o.until) {
+			return
+		}
 	}
 	o.until = now.Add(min(ejectMax, ejectFirst<<min(o.ejects, 5)))
 	o.ejects++
--- a/internal/policy/picker/picker_test.go
+++ b/internal/policy/picker/picker_test.go
@@ -64,6 +64,38 @@
 			members: []chivegauge.Member{far, near},
 			want:    "far",
 		},
+		"not one that could not be reached": {
+			learn: func(p picker.Picker) {
+				p.Begin("near")
+				p.End(later, "near", picker.Unreached, picker.Load{})
+			},
+			members: []chivegauge.Member{far, near},
+			want:    "far",
+		},
+		"not one whose runs fail": {
+			learn: func(p picker.Picker) {
+				p.Begin("near")
+				p.End(later, "near", picker.Succeeded, picker.Load{
+					Running: 1,
+					Limit:   100,
+					Failing: 0.4,
+				})
+			},
+			members: []chivegauge.Member{far, near},
+			want:    "far",
+		},
+		"one whose runs failed a while ago": {
+			learn: func(p picker.Picker) {
+				p.Begin("near")
+				p.End(later.Add(-20*time.Second), "near", picker.Succeeded, picker.Load{
+					Running: 1,
+					Limit:   100,
+					Failing: 0.4,
+				})
+			},
+			members: []chivegauge.Member{far, near},
+			want:    "near",
+		},
 		"the last one, even ejected": {
 			learn: func(p picker.Picker) {
 				for range 5 {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -272,7 +272,9 @@
 	switch {
 	case a.Refusal == nil:
 		return picker.Succeeded
-	case a.Refusal.Code == chivegauge.CodeUnreachable || a.Refusal.Code == chivegauge.CodeNoBackend:
+	case a.Refusal.Code == chivegauge.CodeUnreachable:
+		return picker.Unreached
+	case a.Refusal.Code == chivegauge.CodeNoBackend:
 		return picker.Failed
 	case a.Refusal.Code == chivegauge.CodeOutcomeUnknown || died(a):
 		return picker.Failed
--- /dev/null
+++ b/internal/request/hopper/load_test.go
@@ -0,0 +1,34 @@
+package hopper_test
+
+import (
+	"testing"
+
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
+	"github.com/chivegauge/chivegauge/internal/request/hopper"
+	"github.com/matryer/is"
+)
+
+// TestLoad states that a load arrives as it was sent, and that what can't be read is none.
+func TestLoad(t *testing.T) {
+	is := is.New(t)
+	l := picker.Load{
+		Running: 12,
+		Waiting: 3,
+		Limit:   100,
+		Failing: 0.125,
+	}
+	is.Equal(hopper.DecodeLoad(hopper.EncodeLoad(l)), l)
+	tests := map[string]struct {
+		text string
+		want picker.Load
+	}{
+		"without failures": {text: "1/2/3", want: picker.Load{Running: 1, Waiting: 2, Limit: 3}},
+		"too short":        {text: "1/2"},
+		"no numbers":       {text: "1/x/3"},
+		"below zero":       {text: "1/-2/3"},
+		"empty":            {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(hopper.DecodeLoad(tt.text), tt.want) })
+	}
+}
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -97,17 +97,10 @@
 	}
 }
 
-func fingerprint(c chivegauge.Call) uint64 {
-	h := xxhash.New()
-	_, _ = h.WriteString(c.Workspace + "|" + c.Route + "|" + c.Method + " " + c.Target + "\n")
-	_, _ = h.Write(c.Body)
-	return h.Sum64()
-}
-
 // Enter lets a clear request pass, runs a suspect alone at the trial node, and refuses a convicted one.
 func (i *isolator) Enter(ctx context.Context, c chivegauge.Call) (Admission, *chivegauge.Refusal) {
 	a := Admission{
-		fingerprint: fingerprint(c),
+		fingerprint: chivegauge.Fingerprint(c.Workspace, c.Route, c.Method, c.Target, c.Body),
 	}
 	if c.Suspect {
 		i.suspect(a.fingerprint)
--- a/internal/stream/acceptor/conn.go
+++ b/internal/stream/acceptor/conn.go
@@ -41,6 +41,7 @@
 	bw    *bufio.Writer
 	group sync.WaitGroup
 	ahead chan struct{}
+	work  chan *exchange
 
 	mu    sync.Mutex
 	state state
@@ -56,6 +57,7 @@
 		},
 		bw:    bufio.NewWriterSize(nc, writeBytes),
 		ahead: make(chan struct{}, aheadMax),
+		work:  make(chan *exchange),
 	}
 	c.br = bufio.NewReaderSize(c.limit, readBytes)
 	return c
@@ -84,10 +86,7 @@
 			break
 		}
 		c.ahead <- struct{}{}
-		c.group.Go(func() {
-			c.handle(ctx, x)
-			<-c.ahead
-		})
+		c.assign(ctx, x)
 		turn = x.done
 		if x.body != nil {
 			select {
@@ -101,10 +100,26 @@
 		}
 	}
 	cancel()
+	close(c.work)
 	c.group.Wait()
 	_ = c.nc.Close()
 }
 
+// assign hands the exchange to a goroutine of the connection that has handled one before, whose stack has grown already,
+// or to a new one if all are busy.
+func (c *conn) assign(ctx context.Context, x *exchange) {
+	select {
+	case c.work <- x:
+	default:
+		c.group.Go(func() {
+			for ok := true; ok; x, ok = <-c.work {
+				c.handle(ctx, x)
+				<-c.ahead
+			}
+		})
+	}
+}
+
 // await returns true when a further request begins, and false when none will.
 func (c *conn) await() bool {
 	c.limit.N = noLimit
--- a/internal/stream/carrier/carrier.go
+++ b/internal/stream/carrier/carrier.go
@@ -30,6 +30,18 @@
 	return r.Body == nil || ok
 }
 
+// Held returns the body that is held in memory, nothing for one that is a stream.
+func (r *Request) Held() []byte {
+	b, ok := r.Body.(*bytes.Reader)
+	if !ok {
+		return nil
+	}
+	held := make([]byte, b.Size())
+	// Reading as many bytes as there are in memory can't fail.
+	_, _ = b.ReadAt(held, 0)
+	return held
+}
+
 // Rewind makes a whole body readable from its start.
 func (r *Request) Rewind() {
 	if b, ok := r.Body.(*bytes.Reader); ok {
--- a/internal/stream/forwarder/attempts.go
+++ b/internal/stream/forwarder/attempts.go
@@ -97,9 +97,10 @@
 
 // final are the refusals that no other node would lift.
 var final = map[chivegauge.Code]bool{
-	chivegauge.CodeBadRequest: true,
-	chivegauge.CodeCancelled:  true,
-	chivegauge.CodeDeadline:   true,
+	chivegauge.CodeBadRequest:  true,
+	chivegauge.CodeCancelled:   true,
+	chivegauge.CodeDeadline:    true,
+	chivegauge.CodeQuarantined: true,
 }
 
 // conclude returns the last answer; after an attempt that may have run, no refusal says that none did.
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -184,7 +184,9 @@
 		return picker.Succeeded
 	}
 	switch a.Refusal.Code {
-	case chivegauge.CodeUnreachable, chivegauge.CodeNoBackend, chivegauge.CodeOutcomeUnknown:
+	case chivegauge.CodeUnreachable:
+		return picker.Unreached
+	case chivegauge.CodeNoBackend, chivegauge.CodeOutcomeUnknown:
 		return picker.Failed
 	default:
 		return picker.Refused
--- a/internal/stream/forwarder/forwarder_test.go
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -152,6 +152,7 @@
 	busy := refused(chivegauge.Refuse(chivegauge.CodeBusy, "full"))
 	arrived := refused(chivegauge.Refuse(chivegauge.CodeBusy, "said not run").WithArrived())
 	late := refused(chivegauge.Unknown(chivegauge.CodeDeadline, "no answer in time"))
+	suspect := refused(chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died"))
 	ok := answered(http.StatusOK)
 	failed := answered(http.StatusInternalServerError)
 	tests := map[string]struct {
@@ -163,6 +164,7 @@
 	}{
 		"answered":                       {target: "/write/1", answers: []func() *carrier.Answer{ok}, sends: 1, status: 200},
 		"moved":                          {target: "/write/1", answers: []func() *carrier.Answer{draining, ok}, sends: 2, status: 200},
+		"suspect":                        {target: "/read/1", answers: []func() *carrier.Answer{suspect, ok}, sends: 1, status: 503},
 		"all full":                       {target: "/write/1", answers: []func() *carrier.Answer{busy}, sends: 3, status: 503},
 		"write broken off":               {target: "/write/1", ratio: 1, answers: []func() *carrier.Answer{unknown, ok}, sends: 1, status: 502},
 		"write late":                     {target: "/write/1", ratio: 1, answers: []func() *carrier.Answer{late, ok}, sends: 1, status: 504},
--- a/internal/stream/forwarder/present.go
+++ b/internal/stream/forwarder/present.go
@@ -32,7 +32,7 @@
 // status returns the status of a refusal: 429 and 503 only for what has not run and never will.
 func status(r *chivegauge.Refusal) int {
 	if r.Run == chivegauge.NotRun {
-		if r.Code == chivegauge.CodeDeadline {
+		if r.Code == chivegauge.CodeDeadline || r.Code == chivegauge.CodeQuarantined {
 			return http.StatusServiceUnavailable
 		}
 		return r.Status()
--- a/internal/stream/guardian/guardian.go
+++ b/internal/stream/guardian/guardian.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -31,39 +32,51 @@
 	Leave(now time.Time, instance string, born int64) bool
 	// Current returns the last report, and whether there is one.
 	Current() (Report, bool)
-	// Load returns the running and waiting requests and the limit.
+	// Load returns the running and waiting requests, the limit and the share of the latest runs that failed.
 	Load() picker.Load
 	// Stop refuses all further requests.
 	Stop()
 }
 
+// Suspects are the requests under which backend servers died.
+type Suspects interface {
+	Empty() bool
+	Refuses(now time.Time, fingerprint uint64) bool
+	Died(now time.Time, fingerprints []uint64)
+	Survived(fingerprint uint64)
+}
+
 type guardian struct {
-	names   chivegauge.HeaderNames
-	gate    gatekeeper.Gatekeeper
-	limit   limiter.Declared
-	backend connector.Connector
-	log     zerolog.Logger
+	names    chivegauge.HeaderNames
+	gate     gatekeeper.Gatekeeper
+	limit    limiter.Declared
+	backend  connector.Connector
+	suspects Suspects
+	log      zerolog.Logger
 
 	mu      sync.Mutex
 	report  Report
 	known   bool
 	stopped bool
 	downTo  time.Time
+	failing failing
+	broken  broken
 }
 
 // New returns a guardian that refuses everything until the backend server reports.
-func New(names chivegauge.HeaderNames, g gatekeeper.Gatekeeper, l limiter.Declared, b connector.Connector, log zerolog.Logger) Guardian {
+func New(names chivegauge.HeaderNames, g gatekeeper.Gatekeeper, l limiter.Declared, b connector.Connector, s Suspects, log zerolog.Logger) Guardian {
 	return &guardian{
-		names:   names,
-		gate:    g,
-		limit:   l,
-		backend: b,
-		log:     log,
+		names:    names,
+		gate:     g,
+		limit:    l,
+		backend:  b,
+		suspects: s,
+		log:      log,
 	}
 }
 
 // Report takes in a report that is newer than the last one.
-func (g *guardian) Report(_ time.Time, r Report) bool {
+func (g *guardian) Report(now time.Time, r Report) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.known && !r.Newer(g.report) {
@@ -72,6 +85,8 @@
 	if g.known && !r.SameStart(g.report) {
 		g.backend.Drop()
 		g.downTo = time.Time{}
+		g.failing = failing{}
+		g.died(now)
 	}
 	if g.known && r.SameStart(g.report) && g.report.Leaving {
 		r = r.WithLeaving()
@@ -125,9 +140,20 @@
 	return g.report, g.known
 }
 
-// Load returns the running and waiting requests and the limit.
+// Load returns the running and waiting requests, the limit and the share of the latest runs that failed.
 func (g *guardian) Load() picker.Load {
-	return g.gate.Load()
+	l := g.gate.Load()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l.Failing = g.failing.value(time.Now())
+	return l
+}
+
+// note takes in whether a run failed.
+func (g *guardian) note(failed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.failing = g.failing.with(time.Now(), failed)
 }
 
 // Stop refuses all further requests.
@@ -169,7 +195,7 @@
 	g.log.Warn().Str("Request", c.RequestID).Str("Route", c.Route).Str("Caller", c.Caller).Str("Code", string(a.Refusal.Code)).
 		Str("Run", string(a.Refusal.Run)).Str("Reason", a.Refusal.Message).Str("Instance", report.Instance).
 		Uint64("Sequence", report.Sequence).Bool("Leaving", report.Leaving).Int("Running", load.Running).
-		Int("Waiting", load.Waiting).Int("Limit", load.Limit).Dur("TookMs", time.Since(began)).Msg("request not run to its end here")
+		Int("Waiting", load.Waiting).Int("Limit", load.Limit).Float64("Failing", load.Failing).Dur("TookMs", time.Since(began)).Msg("request not run to its end here")
 	return a
 }
 
@@ -177,6 +203,9 @@
 	if _, refusal := g.usable(time.Now(), c.Service); refusal != nil {
 		return carrier.Refusal(refusal)
 	}
+	if !g.suspects.Empty() && g.suspects.Refuses(time.Now(), fingerprint(c, r)) {
+		return carrier.Refusal(chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request"))
+	}
 	pass, refusal := g.gate.Enter(ctx, c)
 	if refusal != nil {
 		return carrier.Refusal(refusal)
@@ -193,8 +222,9 @@
 	a, err := g.backend.Exchange(ctx, g.outgoing(c, r, report, now))
 	if err != nil {
 		g.gate.Leave(pass, true)
-		return carrier.Refusal(g.failure(ctx, err, c))
+		return carrier.Refusal(g.failure(ctx, err, c, r))
 	}
+	g.survived(now, c, r)
 	return g.judge(a, pass)
 }
 
@@ -219,12 +249,16 @@
 }
 
 // failure returns what is known of a run whose exchange failed.
-func (g *guardian) failure(ctx context.Context, err error, c chivegauge.Call) *chivegauge.Refusal {
+func (g *guardian) failure(ctx context.Context, err error, c chivegauge.Call, r *carrier.Request) *chivegauge.Refusal {
 	failed := &connector.Error{}
 	if errors.As(err, &failed) && !failed.Sent {
 		if ctx.Err() == nil {
 			g.mu.Lock()
-			g.downTo = time.Now().Add(downPause)
+			now := time.Now()
+			g.downTo = now.Add(downPause)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				g.died(now)
+			}
 			g.mu.Unlock()
 		}
 		return chivegauge.Refuse(chivegauge.CodeNoBackend, "the backend server can't be reached: "+err.Error())
@@ -235,6 +269,8 @@
 	if ctx.Err() != nil {
 		return chivegauge.Unknown(chivegauge.CodeDeadline, "the deadline passed while the request ran")
 	}
+	g.note(true)
+	g.brokeOff(time.Now(), c, r)
 	return chivegauge.Unknown(chivegauge.CodeOutcomeUnknown, "the backend server broke off: "+err.Error())
 }
 
@@ -243,12 +279,15 @@
 	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(g.names.NotRun) != "" {
 		a.Release()
 		g.gate.Leave(pass, true)
+		g.note(true)
 		refusal := chivegauge.Refuse(chivegauge.CodeBusy, "the backend server did not run the request")
 		if a.Status == http.StatusMisdirectedRequest {
 			refusal = chivegauge.Refuse(chivegauge.CodeNoBackend, "another backend server has the address")
 		}
 		return carrier.Refusal(refusal.WithArrived())
 	}
-	a.OnRelease(func() { g.gate.Leave(pass, a.Status >= http.StatusInternalServerError) })
+	failed := a.Status >= http.StatusInternalServerError
+	g.note(failed)
+	a.OnRelease(func() { g.gate.Leave(pass, failed) })
 	return a
 }
--- a/internal/stream/guardian/guardian_test.go
+++ b/internal/stream/guardian/guardian_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,12 +20,20 @@
 	"github.com/rs/zerolog"
 )
 
-// backend answers each exchange by the function and keeps the last request.
+// backend answers each exchange by the function, and keeps the requests and what is said of suspects.
 type backend struct {
-	answer func(ctx context.Context) (*carrier.Answer, error)
-	sent   []*carrier.Request
+	answer   func(ctx context.Context) (*carrier.Answer, error)
+	sent     []*carrier.Request
+	refuses  bool
+	died     []uint64
+	survived []uint64
 }
 
+func (b *backend) Empty() bool                    { return false }
+func (b *backend) Refuses(time.Time, uint64) bool { return b.refuses }
+func (b *backend) Died(_ time.Time, f []uint64)   { b.died = append(b.died, f...) }
+func (b *backend) Survived(f uint64)              { b.survived = append(b.survived, f) }
+
 func (b *backend) Exchange(ctx context.Context, r *carrier.Request) (*carrier.Answer, error) {
 	b.sent = append(b.sent, r)
 	return b.answer(ctx)
@@ -55,7 +65,7 @@
 func newGuardian(b *backend) guardian.Guardian {
 	l := limiter.NewDeclared(1)
 	gate := gatekeeper.New(time.Now, l, scheduler.New(10), gatekeeper.WithMaxWait(20*time.Millisecond))
-	return guardian.New(chivegauge.OwnHeaderNames(), gate, l, b, zerolog.Nop())
+	return guardian.New(chivegauge.OwnHeaderNames(), gate, l, b, b, zerolog.Nop())
 }
 
 func report(instance string, born int64, sequence uint64) guardian.Report {
@@ -142,6 +152,92 @@
 	is.Equal(g.Run(context.Background(), call(), request()).Refusal, nil)
 }
 
+// TestFailingShare states which runs count as failed in what other nodes hear of the backend server.
+func TestFailingShare(t *testing.T) {
+	tests := map[string]struct {
+		answer  func(context.Context) (*carrier.Answer, error)
+		failing bool
+	}{
+		"answered":      {answer: status(http.StatusOK, http.Header{})},
+		"not found":     {answer: status(http.StatusNotFound, http.Header{})},
+		"failed":        {answer: status(http.StatusInternalServerError, http.Header{}), failing: true},
+		"said not run":  {answer: status(http.StatusServiceUnavailable, http.Header{chivegauge.HeaderPrefix + "Not-Run": {"1"}}), failing: true},
+		"broken off":    {answer: fails(true), failing: true},
+		"not connected": {answer: fails(false)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGuardian(&backend{
+				answer: tt.answer,
+			})
+			g.Report(time.Now(), report("i-1", 100, 1))
+			g.Run(context.Background(), call(), request())
+			is.Equal(g.Load().Failing > 0, tt.failing)
+			g.Report(time.Now(), report("i-2", 200, 1))
+			is.Equal(g.Load().Failing, 0.0) // another start has not failed
+		})
+	}
+}
+
+// refused is a connection to a port on which nobody listens.
+func refused(context.Context) (*carrier.Answer, error) {
+	return nil, &connector.Error{
+		Cause: syscall.ECONNREFUSED,
+	}
+}
+
+// TestDeath states which requests count as having been run by a backend server that died.
+func TestDeath(t *testing.T) {
+	ok := status(http.StatusOK, http.Header{})
+	tests := map[string]struct {
+		answers []func(context.Context) (*carrier.Answer, error)
+		died    int
+	}{
+		"broke off, then closed":           {answers: []func(context.Context) (*carrier.Answer, error){fails(true), fails(true), refused}, died: 2},
+		"broke off, then answered":         {answers: []func(context.Context) (*carrier.Answer, error){fails(true), ok, refused}},
+		"broke off, then not reached":      {answers: []func(context.Context) (*carrier.Answer, error){fails(true), fails(false)}},
+		"closed with nothing broken off":   {answers: []func(context.Context) (*carrier.Answer, error){ok, refused}},
+		"broke off, then started anew":     {answers: []func(context.Context) (*carrier.Answer, error){fails(true)}, died: 1},
+		"answered, then started anew":      {answers: []func(context.Context) (*carrier.Answer, error){ok}},
+		"broke off, closed, started again": {answers: []func(context.Context) (*carrier.Answer, error){fails(true), refused}, died: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := &backend{}
+			g := newGuardian(b)
+			g.Report(time.Now(), report("i-1", 100, 1))
+			for _, answer := range tt.answers {
+				b.answer = answer
+				g.Run(context.Background(), call(), request())
+			}
+			if !strings.Contains(name, "answered") && !strings.Contains(name, "not reached") {
+				g.Report(time.Now(), report("i-1", 200, 1))
+			}
+			is.Equal(len(b.died), tt.died)
+		})
+	}
+}
+
+// TestSuspect states that a request under which backend servers died is refused as not run.
+func TestSuspect(t *testing.T) {
+	is := is.New(t)
+	b := &backend{
+		answer:  status(http.StatusOK, http.Header{}),
+		refuses: true,
+	}
+	g := newGuardian(b)
+	g.Report(time.Now(), report("i-1", 100, 1))
+	a := g.Run(context.Background(), call(), request())
+	is.Equal(a.Refusal.Code, chivegauge.CodeQuarantined)
+	is.Equal(a.Refusal.Run, chivegauge.NotRun)
+	is.Equal(len(b.sent), 0)
+	b.refuses = false
+	is.Equal(g.Run(context.Background(), call(), request()).Refusal, nil)
+	is.Equal(len(b.survived), 1)
+}
+
 // TestDepartures states which start is given no work after a departure, whatever was reported before and after it.
 func TestDepartures(t *testing.T) {
 	at := time.UnixMilli(1000)
