--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -146,6 +146,9 @@
 	n.bounds.Store(&s.Bounds)
 	n.store(stores)
 	n.serve()
+	if err := n.observe(); err != nil {
+		return nil, errors.Wrap(err, "register gauges")
+	}
 	return n, nil
 }
 
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -60,6 +60,7 @@
 // Meter counts outcomes.
 type Meter interface {
 	Served(workspace, route string, refusal *chivegauge.Refusal, took time.Duration)
+	Attempted(refusal *chivegauge.Refusal)
 }
 
 // Config is what a forwarder is built of.
@@ -157,6 +158,7 @@
 func (f *forwarder) send(ctx context.Context, m chivegauge.Member, c chivegauge.Call, r *carrier.Request) *carrier.Answer {
 	began := time.Now()
 	a, load := f.carry(ctx, m, c, r)
+	f.Meter.Attempted(a.Refusal)
 	if a.Refusal != nil {
 		f.Log.Warn().Str("Request", c.RequestID).Str("Route", c.Route).Str("Service", c.Service).Str("Member", m.Address).
 			Uint64("Incarnation", m.Incarnation).Str("Code", string(a.Refusal.Code)).Str("Run", string(a.Refusal.Run)).
--- a/internal/stream/forwarder/forwarder_test.go
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -64,6 +64,8 @@
 	return next(), picker.Load{}
 }
 
+func (w *world) Attempted(*chivegauge.Refusal) {}
+
 func (w *world) Served(string, string, *chivegauge.Refusal, time.Duration) {}
 
 func answered(status int) func() *carrier.Answer {
--- a/internal/telemetry/journaler/journaler.go
+++ b/internal/telemetry/journaler/journaler.go
@@ -24,6 +24,8 @@
 	io.Writer
 	// Serve writes the lines until the context ends, then those that still wait.
 	Serve(ctx context.Context) error
+	// Dropped returns the number of lines that were dropped.
+	Dropped() uint64
 }
 
 type journaler struct {
@@ -52,6 +54,11 @@
 	return len(p), nil
 }
 
+// Dropped returns the number of lines that were dropped.
+func (j *journaler) Dropped() uint64 {
+	return j.dropped.Load()
+}
+
 // Serve writes the lines in batches.
 func (j *journaler) Serve(ctx context.Context) error {
 	for {
--- a/internal/telemetry/meter/meter.go
+++ b/internal/telemetry/meter/meter.go
@@ -30,6 +30,10 @@
 type Meter interface {
 	// Served counts one request of a caller with its outcome and time.
 	Served(workspace, route string, refusal *chivegauge.Refusal, took time.Duration)
+	// Attempted counts one attempt to send a request to a member, by the code of its refusal.
+	Attempted(refusal *chivegauge.Refusal)
+	// Called counts one call to the platform's store.
+	Called(method string, err error)
 	// Restarted counts a part of the node that was started again after a fault.
 	Restarted(part string)
 	// Observe adds gauges.
@@ -59,8 +63,11 @@
 	registry *prometheus.Registry
 	series   sync.Map
 	kept     atomic.Int64
+	codes    sync.Map
 	meter    metric.Meter
 	requests metric.Int64Counter
+	attempts metric.Int64Counter
+	calls    metric.Int64Counter
 	restarts metric.Int64Counter
 	duration metric.Float64Histogram
 }
@@ -87,6 +94,12 @@
 	if m.requests, err = m.meter.Int64Counter("chivegauge.requests", metric.WithDescription("Requests of callers by outcome")); err != nil {
 		return err
 	}
+	if m.attempts, err = m.meter.Int64Counter("chivegauge.attempts", metric.WithDescription("Attempts to send requests to nodes by outcome")); err != nil {
+		return err
+	}
+	if m.calls, err = m.meter.Int64Counter("chivegauge.store.calls", metric.WithDescription("Calls to the platform's store by method and result")); err != nil {
+		return err
+	}
 	if m.restarts, err = m.meter.Int64Counter("chivegauge.restarts", metric.WithDescription("Parts of the node started again after a fault")); err != nil {
 		return err
 	}
@@ -107,16 +120,22 @@
 	return nil
 }
 
+// answered is the code of a request that a backend server answered.
+const answered = "Answered"
+
+func codeOf(refusal *chivegauge.Refusal) string {
+	if refusal == nil {
+		return answered
+	}
+	return string(refusal.Code)
+}
+
 // Served counts one request of a caller.
 func (m *meter) Served(workspace, route string, refusal *chivegauge.Refusal, took time.Duration) {
-	code := "Answered"
-	if refusal != nil {
-		code = string(refusal.Code)
-	}
 	s := m.of(outcome{
 		workspace: workspace,
 		route:     route,
-		code:      code,
+		code:      codeOf(refusal),
 	})
 	m.requests.Add(context.Background(), 1, s.requests)
 	m.duration.Record(context.Background(), took.Seconds(), s.duration)
@@ -141,6 +160,25 @@
 	return s
 }
 
+// Attempted counts one attempt.
+func (m *meter) Attempted(refusal *chivegauge.Refusal) {
+	code := codeOf(refusal)
+	option, ok := m.codes.Load(code)
+	if !ok {
+		option, _ = m.codes.LoadOrStore(code, metric.WithAttributeSet(attribute.NewSet(attribute.String("code", code))))
+	}
+	m.attempts.Add(context.Background(), 1, option.(metric.MeasurementOption))
+}
+
+// Called counts one call to the store.
+func (m *meter) Called(method string, err error) {
+	result := "Success"
+	if err != nil {
+		result = "Failure"
+	}
+	m.calls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("method", method), attribute.String("result", result)))
+}
+
 // Restarted counts a part that was started again.
 func (m *meter) Restarted(part string) {
 	m.restarts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("part", part)))
--- /dev/null
+++ b/internal/telemetry/meter/meter_test.go
@@ -0,0 +1,70 @@
+package meter_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/telemetry/meter"
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+// TestHandler states which series the metrics hold after some events.
+func TestHandler(t *testing.T) {
+	is := is.New(t)
+	m, err := meter.New()
+	is.NoErr(err)
+	busy := chivegauge.Refuse(chivegauge.CodeBusy, "full")
+	for range 2 {
+		m.Served("golf", "read", nil, 20*time.Millisecond)
+	}
+	m.Served("golf", "read", busy, time.Millisecond)
+	m.Attempted(nil)
+	m.Attempted(busy)
+	m.Called(http.MethodGet, nil)
+	m.Called(http.MethodPut, errors.New("refused"))
+	is.NoErr(m.Observe(meter.Gauge{
+		Name: "chivegauge.nodes",
+		Read: func() float64 { return 3 },
+	}))
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	text := w.Body.String()
+	tests := map[string]struct {
+		name   string
+		labels []string
+		value  string
+	}{
+		"answered":     {name: "chivegauge_requests_total", labels: []string{`code="Answered"`, `route="read"`, `workspace="golf"`}, value: "2"},
+		"refused":      {name: "chivegauge_requests_total", labels: []string{`code="Busy"`}, value: "1"},
+		"attempt":      {name: "chivegauge_attempts_total", labels: []string{`code="Answered"`}, value: "1"},
+		"read":         {name: "chivegauge_store_calls_total", labels: []string{`method="GET"`, `result="Success"`}, value: "1"},
+		"failed write": {name: "chivegauge_store_calls_total", labels: []string{`method="PUT"`, `result="Failure"`}, value: "1"},
+		"times":        {name: "chivegauge_request_duration_seconds_count", labels: []string{`route="read"`}, value: "3"},
+		"gauge":        {name: "chivegauge_nodes", value: "3"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { is.New(t).True(has(text, tt.name, tt.labels, tt.value)) })
+	}
+}
+
+// has reports whether the text holds a series of the name with the labels and the value.
+func has(text, name string, labels []string, value string) bool {
+	for line := range strings.Lines(text) {
+		if !strings.HasPrefix(line, name+"{") || !strings.HasSuffix(strings.TrimSpace(line), "} "+value) {
+			continue
+		}
+		all := true
+		for _, l := range labels {
+			all = all && strings.Contains(line, l)
+		}
+		if all {
+			return true
+		}
+	}
+	return false
+}
