Hold requests back whose calls find no room; tell the story of a request from the log; check the platform's settings

Cause: where a service deep in the graph is short of room, each of its refusals wastes the run of a whole tree (fleet-status, four in a row: at 15 in 100 refused half of the trees fail), while the trees above go on to begin. Calls name no parent; linker learns which requests make them, from calls that end at their parent's deadline and from what has less time left than the call. Requests that make calls pass a second gate whose limit falls with the share of their calls that were refused for want of room (limiter.Marked), so that the refusal moves towards the root, the least important first; a call is as important as the request that made it where that is known. No further node is asked after 150 ms of waiting.

--- a/cmd/chivegauge/main.go
+++ b/cmd/chivegauge/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(runner.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(runner.Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -17,6 +17,7 @@
 	"github.com/chivegauge/chivegauge/internal/policy/scheduler"
 	"github.com/chivegauge/chivegauge/internal/request/drawer"
 	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
+	"github.com/chivegauge/chivegauge/internal/request/linker"
 	"github.com/chivegauge/chivegauge/internal/request/router"
 	"github.com/chivegauge/chivegauge/internal/request/suspector"
 	"github.com/chivegauge/chivegauge/internal/stream/acceptor"
@@ -201,7 +202,18 @@
 			Period: time.Second,
 		},
 	})
-	n.guardian = guardian.New(s.Names, gate, limit, backend, n.suspects, requests)
+	room := limiter.NewMarked(limit)
+	links := linker.New()
+	n.guardian = guardian.New(guardian.Config{
+		Names:    s.Names,
+		Gate:     gate,
+		Callers:  gatekeeper.New(time.Now, room, scheduler.New(queueMax), gatekeeper.WithMaxWait(queueTime)),
+		Links:    links,
+		Limit:    limit,
+		Backend:  backend,
+		Suspects: n.suspects,
+		Log:      requests,
+	})
 	remote := courier.New(courier.Config{
 		DialTimeout: dialTimeout,
 		Silence:     peerSilence,
@@ -218,6 +230,8 @@
 		Local:    n.guardian,
 		Remote:   remote,
 		Picker:   picker.New(s.Member.Zone, s.Member.Region),
+		Links:    links,
+		Room:     room,
 		Budget:   budgeter.NewWindow(retryShare(s.Bounds.RetryRatio), 0, s.RetryWindow),
 		Meter:    n.meter,
 		Log:      requests,
--- a/internal/command/runner/node.go
+++ b/internal/command/runner/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/chivegauge/chivegauge/internal/app/supervisor"
 	"github.com/chivegauge/chivegauge/internal/base/loader"
+	"github.com/chivegauge/chivegauge/platform"
 	"github.com/rs/zerolog"
 )
 
@@ -53,11 +54,15 @@
 
 type checkCommand struct {
 	settingsOptions
-	env *environment
+	Sidecar bool `long:"sidecar" description:"the file has the format of the Greensward platform"`
+	env     *environment
 }
 
 // Execute checks the settings file.
 func (c *checkCommand) Execute([]string) error {
+	if c.Sidecar {
+		return c.sidecar()
+	}
 	s, err := c.load()
 	if err != nil {
 		return err
@@ -66,3 +71,19 @@
 		c.Settings, s.Listeners.Peer.Reached(), s.Service, s.AvailabilityZone)
 	return err
 }
+
+// sidecar checks a settings file in the platform's format.
+func (c *checkCommand) sidecar() error {
+	s, err := platform.Check(c.Settings)
+	if err != nil {
+		return &exitError{
+			code: ExitUsage,
+			err:  err,
+		}
+	}
+	b := s.Bounds
+	_, err = fmt.Fprintf(c.env.out, "%s: settings of the node %s at %s (service %s, availability zone %s) are valid\n"+
+		"withdrawn keys stop within %v; a stop takes at most %v; retries: %v of the requests and %v in %v\n",
+		c.Settings, s.Name, s.Member.Address, s.Member.Service, s.Member.Zone, b.KeyLifetime, b.StopTime, b.RetryRatio, b.RetrySlack, s.RetryWindow)
+	return err
+}
--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -21,8 +21,9 @@
 // Version is the version of the program.
 const Version = "0.1.0"
 
-// environment is where commands write.
+// environment is where commands read and write.
 type environment struct {
+	in  io.Reader
 	out io.Writer
 	err io.Writer
 }
@@ -39,8 +40,9 @@
 }
 
 // Run carries out the command in args and returns the exit code.
-func Run(args []string, out, errOut io.Writer) int {
+func Run(args []string, in io.Reader, out, errOut io.Writer) int {
 	env := &environment{
+		in:  in,
 		out: out,
 		err: errOut,
 	}
@@ -73,6 +75,7 @@
 		{"confirm", "Apply a plan if its base still holds", &confirmCommand{remoteOptions: remote()}},
 		{"status", "Show what each member has in force", &statusCommand{remoteOptions: remote()}},
 		{"audit", "Show the audit trail of changes", &auditCommand{remoteOptions: remote()}},
+		{"explain", "Tell from the log lines on standard input what became of a request", &explainCommand{env: env}},
 		{"replay", "Replay a trace of recorded decisions and check its outcomes", &replayCommand{env: env}},
 		{"version", "Print the version", &versionCommand{env: env}},
 	}
--- a/internal/stream/forwarder/admit.go
+++ b/internal/stream/forwarder/admit.go
@@ -31,6 +31,11 @@
 	c.Idempotent = route.Idempotent
 	c.Importance = route.Importance
 	c.Deadline = r.Arrived.Add(f.budget(r, route))
+	if f.key(r) == "" {
+		if importance, ok := f.Links.Called(r.Arrived, route, c.Deadline); ok {
+			c.Importance = max(c.Importance, importance)
+		}
+	}
 	if refusal := f.authorize(ctx, &c, r, route, cfg); refusal != nil {
 		return c, 0, refusal
 	}
--- a/internal/stream/forwarder/attempts.go
+++ b/internal/stream/forwarder/attempts.go
@@ -18,10 +18,10 @@
 	last     *carrier.Answer
 }
 
-// forward sends the request until an answer stands or no further attempt is allowed.
-func (f *forwarder) forward(ctx context.Context, c chivegauge.Call, limit int, r *carrier.Request) *carrier.Answer {
+// forward sends the request until an answer stands or no further attempt is allowed, and returns the members tried.
+func (f *forwarder) forward(ctx context.Context, c chivegauge.Call, limit int, r *carrier.Request) (*carrier.Answer, []string) {
 	if refusal := f.prepare(ctx, c, r); refusal != nil {
-		return carrier.Refusal(refusal)
+		return carrier.Refusal(refusal), nil
 	}
 	t := &attempts{}
 	for {
@@ -38,7 +38,7 @@
 			break
 		}
 	}
-	return t.conclude(c)
+	return t.conclude(c), t.tried
 }
 
 // prepare holds a small body, and lets only repeatable requests run ahead of others on their connection.
@@ -85,7 +85,7 @@
 	case refusal != nil && final[refusal.Code]:
 		return false
 	case refusal != nil && refusal.Run == chivegauge.NotRun && !refusal.Arrived:
-		return t.moves <= movesMax
+		return t.moves <= movesMax && (refusal.Code != chivegauge.CodeBusy || time.Since(r.Arrived) < moveTime)
 	case t.arrivals >= limit:
 		return false
 	case refusal != nil && refusal.Run == chivegauge.NotRun:
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -20,6 +20,10 @@
 	// movesMax is the number of further nodes that are asked for a request that no backend server was sent.
 	movesMax = 3
 
+	// moveTime is how long after its arrival a request is moved on that found no room: about one wait in a queue, after
+	// which other nodes are as full.
+	moveTime = 150 * time.Millisecond
+
 	// lateSlack is how long after its deadline a request is given up, so that the backend server can answer by itself first.
 	lateSlack = 100 * time.Millisecond
 
@@ -63,6 +67,17 @@
 	Attempted(refusal *chivegauge.Refusal)
 }
 
+// Links find the requests that make calls.
+type Links interface {
+	Called(now time.Time, route chivegauge.Route, deadline time.Time) (chivegauge.Importance, bool)
+	FromHere(route string) bool
+}
+
+// Room is told whether calls are refused for want of room.
+type Room interface {
+	Mark(now time.Time, marked bool)
+}
+
 // Config is what a forwarder is built of.
 type Config struct {
 	// Now returns the time by which retries are counted, suspension of the instance included.
@@ -75,6 +90,8 @@
 	Local   Executor
 	Remote  Courier
 	Picker  picker.Picker
+	Links   Links
+	Room    Room
 	Budget  budgeter.Window
 	Meter   Meter
 	Log     zerolog.Logger
@@ -132,25 +149,28 @@
 func (f *forwarder) Handle(ctx context.Context, r *carrier.Request) *carrier.Answer {
 	call, limit, refusal := f.admit(ctx, r)
 	if refusal != nil {
-		return f.conclude(call, r, carrier.Refusal(refusal))
+		return f.conclude(call, r, carrier.Refusal(refusal), nil)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(call.Budget(time.Now())+lateSlack, cancel)
-	answer := f.forward(ctx, call, limit, r)
+	answer, tried := f.forward(ctx, call, limit, r)
 	timer.Stop()
 	answer.OnRelease(cancel)
-	return f.conclude(call, r, answer)
+	return f.conclude(call, r, answer, tried)
 }
 
 // conclude makes a refusal presentable, and counts and logs the outcome.
-func (f *forwarder) conclude(c chivegauge.Call, r *carrier.Request, a *carrier.Answer) *carrier.Answer {
+func (f *forwarder) conclude(c chivegauge.Call, r *carrier.Request, a *carrier.Answer, tried []string) *carrier.Answer {
 	took := time.Since(r.Arrived)
+	if f.Links.FromHere(c.Route) {
+		f.Room.Mark(time.Now(), a.Refusal != nil && a.Refusal.Code == chivegauge.CodeBusy && !a.Refusal.Arrived)
+	}
 	f.Meter.Served(c.Workspace, c.Route, a.Refusal, took)
 	if a.Refusal != nil {
 		present(a)
 		a.Header.Set(f.Names.Attempt, c.RequestID)
 	}
-	f.journal(c, a, took)
+	f.journal(c, a, tried, took)
 	return a
 }
 
--- a/internal/stream/forwarder/forwarder_test.go
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -20,6 +20,8 @@
 
 // world is what a forwarder sees: a configuration, members, rates and answers of other nodes in turn.
 type world struct {
+	parent  chivegauge.Importance
+	marks   []bool
 	now     time.Time
 	router  router.Router
 	age     time.Duration
@@ -64,6 +66,14 @@
 	return next(), picker.Load{}
 }
 
+func (w *world) Called(time.Time, chivegauge.Route, time.Time) (chivegauge.Importance, bool) {
+	return w.parent, w.parent != 0
+}
+
+func (w *world) FromHere(string) bool { return w.parent != 0 }
+
+func (w *world) Mark(_ time.Time, marked bool) { w.marks = append(w.marks, marked) }
+
 func (w *world) Attempted(*chivegauge.Refusal) {}
 
 func (w *world) Served(string, string, *chivegauge.Refusal, time.Duration) {}
@@ -123,6 +133,8 @@
 		Local:    w,
 		Remote:   w,
 		Picker:   picker.NewRoundRobin(),
+		Links:    w,
+		Room:     w,
 		Budget:   budgeter.NewWindow(share, 0, time.Minute),
 		Meter:    w,
 		Log:      zerolog.Nop(),
@@ -244,6 +256,78 @@
 	}
 }
 
+// TestMovesEnd states that a request that has waited for room is refused in time for its caller to come back.
+func TestMovesEnd(t *testing.T) {
+	tests := map[string]struct {
+		code  chivegauge.Code
+		since time.Duration
+		sends int
+	}{
+		"full at once":      {code: chivegauge.CodeBusy, sends: 3},
+		"full after a wait": {code: chivegauge.CodeBusy, since: 200 * time.Millisecond, sends: 1},
+		"leaving":           {code: chivegauge.CodeDraining, since: 200 * time.Millisecond, sends: 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(refused(chivegauge.Refuse(tt.code, "no")))
+			r := request("/read/1", "k1")
+			r.Arrived = r.Arrived.Add(-tt.since)
+			a := w.forwarder(0).Handle(context.Background(), r)
+			is.Equal(len(w.calls), tt.sends)
+			is.Equal(a.Status, http.StatusServiceUnavailable)
+		})
+	}
+}
+
+// TestMarks states which calls of the backend server count as refused for want of room.
+func TestMarks(t *testing.T) {
+	busy := refused(chivegauge.Refuse(chivegauge.CodeBusy, "full"))
+	ok := answered(http.StatusOK)
+	tests := map[string]struct {
+		answers []func() *carrier.Answer
+		parent  chivegauge.Importance
+		marks   []bool
+	}{
+		"answered":                  {answers: []func() *carrier.Answer{ok}, parent: 1, marks: []bool{false}},
+		"answered elsewhere":        {answers: []func() *carrier.Answer{busy, ok}, parent: 1, marks: []bool{false}},
+		"refused everywhere":        {answers: []func() *carrier.Answer{busy}, parent: 1, marks: []bool{true}},
+		"refused by backend server": {answers: []func() *carrier.Answer{refused(chivegauge.Refuse(chivegauge.CodeBusy, "said not run").WithArrived())}, parent: 1, marks: []bool{false}},
+		"not a call":                {answers: []func() *carrier.Answer{busy}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(tt.answers...)
+			w.parent = tt.parent
+			w.forwarder(0).Handle(context.Background(), request("/open/1", ""))
+			is.Equal(w.marks, tt.marks)
+		})
+	}
+}
+
+// TestImportanceOfCalls states that a call is as important as the request that made it, if that is known and higher.
+func TestImportanceOfCalls(t *testing.T) {
+	tests := map[string]struct {
+		parent chivegauge.Importance
+		key    string
+		want   chivegauge.Importance
+	}{
+		"call of a critical request": {parent: chivegauge.Critical, want: chivegauge.Critical},
+		"call of an unknown request": {want: chivegauge.Low},
+		"request with a key":         {parent: chivegauge.Low + 1, key: "k1", want: chivegauge.Critical},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(answered(http.StatusOK))
+			w.parent = tt.parent
+			w.forwarder(0).Handle(context.Background(), request("/open/1", tt.key))
+			is.Equal(w.calls[0].Importance, tt.want)
+		})
+	}
+}
+
 // TestCall states what a request becomes.
 func TestCall(t *testing.T) {
 	is := is.New(t)
--- a/internal/stream/forwarder/present.go
+++ b/internal/stream/forwarder/present.go
@@ -44,7 +44,7 @@
 }
 
 // journal writes one line about the outcome of the request.
-func (f *forwarder) journal(c chivegauge.Call, a *carrier.Answer, took time.Duration) {
+func (f *forwarder) journal(c chivegauge.Call, a *carrier.Answer, tried []string, took time.Duration) {
 	e := f.Log.Info()
 	if a.Refusal != nil {
 		e = f.Log.Warn().Str("Code", string(a.Refusal.Code)).Str("Run", string(a.Refusal.Run)).Str("Reason", a.Refusal.Message)
@@ -59,6 +59,9 @@
 	if c.Workspace != "" {
 		e.Dur("ProofAgeMs", f.Config.Config.Age())
 	}
+	if len(tried) > 0 {
+		e.Int("Attempts", len(tried)).Str("Member", tried[len(tried)-1])
+	}
 	e.Str("Request", c.RequestID).Str("Route", c.Route).Str("Service", c.Service).Str("Workspace", c.Workspace).
 		Uint64("ConfigVersion", version).Int("Status", a.Status).Dur("TookMs", took).Msg("request answered")
 }
--- a/internal/stream/guardian/death.go
+++ b/internal/stream/guardian/death.go
@@ -39,15 +39,15 @@
 // died counts the death of the backend server against the runs that broke off just before; g.mu is held.
 func (g *guardian) died(now time.Time) {
 	if len(g.broken.fingerprints) > 0 && now.Sub(g.broken.last) < brokenTime {
-		g.suspects.Died(now, g.broken.fingerprints)
+		g.Suspects.Died(now, g.broken.fingerprints)
 	}
 	g.broken = broken{}
 }
 
 // survived takes in that the backend server answered a request sent at the time: it lived then.
 func (g *guardian) survived(sent time.Time, c chivegauge.Call, r *carrier.Request) {
-	if !g.suspects.Empty() {
-		g.suspects.Survived(fingerprint(c, r))
+	if !g.Suspects.Empty() {
+		g.Suspects.Survived(fingerprint(c, r))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/stream/guardian/guardian.go
+++ b/internal/stream/guardian/guardian.go
@@ -12,6 +12,7 @@
 	"github.com/chivegauge/chivegauge/internal/policy/limiter"
 	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
+	"github.com/chivegauge/chivegauge/internal/request/linker"
 	"github.com/chivegauge/chivegauge/internal/stream/carrier"
 	"github.com/chivegauge/chivegauge/internal/stream/connector"
 	"github.com/go-faster/errors"
@@ -47,12 +48,7 @@
 }
 
 type guardian struct {
-	names    chivegauge.HeaderNames
-	gate     gatekeeper.Gatekeeper
-	limit    limiter.Declared
-	backend  connector.Connector
-	suspects Suspects
-	log      zerolog.Logger
+	Config
 
 	mu      sync.Mutex
 	report  Report
@@ -63,15 +59,25 @@
 	broken  broken
 }
 
+// Config is what a guardian is built of.
+type Config struct {
+	Names chivegauge.HeaderNames
+
+	// Gate holds all requests within the limit, Callers before it those that make calls within the room for their calls.
+	Gate    gatekeeper.Gatekeeper
+	Callers gatekeeper.Gatekeeper
+
+	Links    linker.Linker
+	Limit    limiter.Declared
+	Backend  connector.Connector
+	Suspects Suspects
+	Log      zerolog.Logger
+}
+
 // New returns a guardian that refuses everything until the backend server reports.
-func New(names chivegauge.HeaderNames, g gatekeeper.Gatekeeper, l limiter.Declared, b connector.Connector, s Suspects, log zerolog.Logger) Guardian {
+func New(cfg Config) Guardian {
 	return &guardian{
-		names:    names,
-		gate:     g,
-		limit:    l,
-		backend:  b,
-		suspects: s,
-		log:      log,
+		Config: cfg,
 	}
 }
 
@@ -83,7 +89,7 @@
 		return false
 	}
 	if g.known && !r.SameStart(g.report) {
-		g.backend.Drop()
+		g.Backend.Drop()
 		g.downTo = time.Time{}
 		g.failing = failing{}
 		g.died(now)
@@ -98,8 +104,8 @@
 func (g *guardian) take(r Report) {
 	g.report = r
 	g.known = true
-	g.limit.Declare(r.Slots)
-	g.gate.SetDraining(r.Leaving)
+	g.Limit.Declare(r.Slots)
+	g.Gate.SetDraining(r.Leaving)
 }
 
 // Leave takes in that a start of the backend server leaves, also one that has not reported here: a report of it may be
@@ -142,7 +148,8 @@
 
 // Load returns the running and waiting requests, the limit and the share of the latest runs that failed.
 func (g *guardian) Load() picker.Load {
-	l := g.gate.Load()
+	l := g.Gate.Load()
+	l.Waiting += g.Callers.Load().Waiting
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l.Failing = g.failing.value(time.Now())
@@ -192,7 +199,7 @@
 	}
 	report, _ := g.Current()
 	load := g.Load()
-	g.log.Warn().Str("Request", c.RequestID).Str("Route", c.Route).Str("Caller", c.Caller).Str("Code", string(a.Refusal.Code)).
+	g.Log.Warn().Str("Request", c.RequestID).Str("Route", c.Route).Str("Caller", c.Caller).Str("Code", string(a.Refusal.Code)).
 		Str("Run", string(a.Refusal.Run)).Str("Reason", a.Refusal.Message).Str("Instance", report.Instance).
 		Uint64("Sequence", report.Sequence).Bool("Leaving", report.Leaving).Int("Running", load.Running).
 		Int("Waiting", load.Waiting).Int("Limit", load.Limit).Float64("Failing", load.Failing).Dur("TookMs", time.Since(began)).Msg("request not run to its end here")
@@ -203,10 +210,10 @@
 	if _, refusal := g.usable(time.Now(), c.Service); refusal != nil {
 		return carrier.Refusal(refusal)
 	}
-	if !g.suspects.Empty() && g.suspects.Refuses(time.Now(), fingerprint(c, r)) {
+	if !g.Suspects.Empty() && g.Suspects.Refuses(time.Now(), fingerprint(c, r)) {
 		return carrier.Refusal(chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request"))
 	}
-	pass, refusal := g.gate.Enter(ctx, c)
+	pass, refusal := g.enter(ctx, c)
 	if refusal != nil {
 		return carrier.Refusal(refusal)
 	}
@@ -216,15 +223,18 @@
 		refusal = chivegauge.Refuse(chivegauge.CodeDeadline, "the deadline has passed")
 	}
 	if refusal != nil {
-		g.gate.Leave(pass, true)
+		g.leave(pass, true)
 		return carrier.Refusal(refusal)
 	}
-	a, err := g.backend.Exchange(ctx, g.outgoing(c, r, report, now))
+	run := g.Links.Begin(c.Route, c.Importance, now.Add(handedOn(c, now)))
+	a, err := g.Backend.Exchange(ctx, g.outgoing(c, r, report, now))
 	if err != nil {
-		g.gate.Leave(pass, true)
+		g.Links.End(run)
+		g.leave(pass, true)
 		return carrier.Refusal(g.failure(ctx, err, c, r))
 	}
 	g.survived(now, c, r)
+	a.OnRelease(func() { g.Links.End(run) })
 	return g.judge(a, pass)
 }
 
@@ -238,16 +248,21 @@
 		}
 	}
 	out.Header.Del("Authorization")
-	out.Header.Del(g.names.Workspace)
+	out.Header.Del(g.Names.Workspace)
 	if c.Workspace != "" {
-		out.Header.Set(g.names.Workspace, c.Workspace)
+		out.Header.Set(g.Names.Workspace, c.Workspace)
 	}
-	out.Header.Set(g.names.Caller, c.Caller)
-	out.Header.Set(g.names.Expected, report.Instance)
-	out.Header.Set(g.names.BudgetMs, strconv.FormatInt(max(1, c.Budget(now).Milliseconds()), 10))
+	out.Header.Set(g.Names.Caller, c.Caller)
+	out.Header.Set(g.Names.Expected, report.Instance)
+	out.Header.Set(g.Names.BudgetMs, strconv.FormatInt(handedOn(c, now).Milliseconds(), 10))
 	return &out
 }
 
+// handedOn returns the time that the backend server is told, in whole milliseconds.
+func handedOn(c chivegauge.Call, now time.Time) time.Duration {
+	return max(time.Millisecond, c.Budget(now).Truncate(time.Millisecond))
+}
+
 // failure returns what is known of a run whose exchange failed.
 func (g *guardian) failure(ctx context.Context, err error, c chivegauge.Call, r *carrier.Request) *chivegauge.Refusal {
 	failed := &connector.Error{}
@@ -275,10 +290,10 @@
 }
 
 // judge returns the answer; one by which the backend server says that it did not run the request becomes a refusal.
-func (g *guardian) judge(a *carrier.Answer, pass gatekeeper.Pass) *carrier.Answer {
-	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(g.names.NotRun) != "" {
+func (g *guardian) judge(a *carrier.Answer, pass passes) *carrier.Answer {
+	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(g.Names.NotRun) != "" {
 		a.Release()
-		g.gate.Leave(pass, true)
+		g.leave(pass, true)
 		g.note(true)
 		refusal := chivegauge.Refuse(chivegauge.CodeBusy, "the backend server did not run the request")
 		if a.Status == http.StatusMisdirectedRequest {
@@ -288,6 +303,6 @@
 	}
 	failed := a.Status >= http.StatusInternalServerError
 	g.note(failed)
-	a.OnRelease(func() { g.gate.Leave(pass, failed) })
+	a.OnRelease(func() { g.leave(pass, failed) })
 	return a
 }
--- a/internal/stream/guardian/guardian_test.go
+++ b/internal/stream/guardian/guardian_test.go
@@ -12,6 +12,7 @@
 	"github.com/chivegauge/chivegauge/internal/policy/limiter"
 	"github.com/chivegauge/chivegauge/internal/policy/scheduler"
 	"github.com/chivegauge/chivegauge/internal/request/gatekeeper"
+	"github.com/chivegauge/chivegauge/internal/request/linker"
 	"github.com/chivegauge/chivegauge/internal/stream/carrier"
 	"github.com/chivegauge/chivegauge/internal/stream/connector"
 	"github.com/chivegauge/chivegauge/internal/stream/guardian"
@@ -65,7 +66,16 @@
 func newGuardian(b *backend) guardian.Guardian {
 	l := limiter.NewDeclared(1)
 	gate := gatekeeper.New(time.Now, l, scheduler.New(10), gatekeeper.WithMaxWait(20*time.Millisecond))
-	return guardian.New(chivegauge.OwnHeaderNames(), gate, l, b, b, zerolog.Nop())
+	return guardian.New(guardian.Config{
+		Names:    chivegauge.OwnHeaderNames(),
+		Gate:     gate,
+		Callers:  gatekeeper.New(time.Now, l, scheduler.New(10), gatekeeper.WithMaxWait(20*time.Millisecond)),
+		Links:    linker.New(),
+		Limit:    l,
+		Backend:  b,
+		Suspects: b,
+		Log:      zerolog.Nop(),
+	})
 }
 
 func report(instance string, born int64, sequence uint64) guardian.Report {
