Ask nodes of other zones for proof; take a configuration and its proof into force together

Where the reader and the store fail, any other node is asked now; the age of the proof counts through the chain. Tests that failed first: TestProofFromAnotherZone, TestProofGoesOn (now also for the node that is cut off).

--- a/internal/cluster/freshener/freshener.go
+++ b/internal/cluster/freshener/freshener.go
@@ -149,12 +149,20 @@
 	return min(2*pause, f.cfg.Load().RetryMax)
 }
 
-// step asks the node that reads for this zone, or the source itself.
+// step asks the node that reads for this zone, or the source itself, or else any other node.
 func (f *freshener) step(ctx context.Context) error {
 	if m, ok := f.reader(); ok && f.ask(ctx, m) {
 		return nil
 	}
-	return f.read(ctx)
+	err := f.read(ctx)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	if m, ok := f.other(); ok && f.ask(ctx, m) {
+		f.note(err)
+		return nil
+	}
+	return err
 }
 
 // read makes one call to the source; its proof counts from when it was sent.
@@ -170,7 +178,7 @@
 	f.lost = false
 	f.mu.Unlock()
 	if reading.Document != nil {
-		f.accept(*reading.Document)
+		f.accept(*reading.Document, sent)
 	}
 	f.prove(sent)
 	if lost {
@@ -195,8 +203,8 @@
 	return f.source.Await(ctx, revision, cfg.Wait)
 }
 
-// accept takes a newer configuration into force; an older one changes nothing.
-func (f *freshener) accept(d router.Document) {
+// accept takes a newer configuration into force, together with its proof; an older one changes nothing.
+func (f *freshener) accept(d router.Document, proof time.Time) {
 	old, ok := f.Router()
 	if ok && d.Version <= old.Version() {
 		if d.Version < old.Version() {
@@ -208,6 +216,7 @@
 	f.mu.Lock()
 	f.current.Store(&r)
 	f.document = d
+	f.proved(proof)
 	close(f.changed)
 	f.changed = make(chan struct{})
 	f.mu.Unlock()
@@ -226,5 +235,9 @@
 		return
 	}
 	f.lost = true
-	f.log.Warn().Err(err).Dur("ProofAgeMs", timekeeper.Now().Sub(f.proof)).Msg("configuration source lost")
+	e := f.log.Warn().Err(err)
+	if !f.proof.IsZero() {
+		e.Dur("ProofAgeMs", timekeeper.Now().Sub(f.proof))
+	}
+	e.Msg("configuration source lost")
 }
--- a/internal/cluster/freshener/freshener_test.go
+++ b/internal/cluster/freshener/freshener_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -140,9 +141,13 @@
 		silent: map[string]bool{},
 	}
 	for _, name := range names {
+		zone, _, _ := strings.Cut(name, "/")
+		if zone == name {
+			zone = "z"
+		}
 		z.members = append(z.members, chivegauge.Member{
 			Address: name,
-			Zone:    "z",
+			Zone:    zone,
 		})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -228,8 +233,8 @@
 			z.wait(t, "first version", version(1))
 			s.setCut(name, true)
 			s.put(2)
-			others := func(f freshener.Freshener) bool { return f == z.nodes[name] || version(2)(f) }
-			z.wait(t, "next version", others)
+			z.wait(t, "next version", version(2))
+			z.wait(t, "a young proof", func(f freshener.Freshener) bool { return f.Age() < young })
 		})
 		t.Run(name+" silent", func(t *testing.T) {
 			s := newSource()
@@ -245,6 +250,20 @@
 	}
 }
 
+// TestProofFromAnotherZone states that a zone out of reach of the source goes on with the proof of the others.
+func TestProofFromAnotherZone(t *testing.T) {
+	s := newSource()
+	z := start(t, s, young, "x/a", "x/b", "y/a", "y/b")
+	z.wait(t, "first version", version(1))
+	s.setCut("x/a", true)
+	s.setCut("x/b", true)
+	for n := uint64(2); n < 5; n++ {
+		s.put(n)
+		z.wait(t, "next version", version(n))
+	}
+	z.wait(t, "a young proof", func(f freshener.Freshener) bool { return f.Age() < young })
+}
+
 // TestProofAges states that without the source the proof gets older at each node, however they ask each other.
 func TestProofAges(t *testing.T) {
 	is := is.New(t)
--- a/internal/cluster/freshener/sharing.go
+++ b/internal/cluster/freshener/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -45,6 +46,24 @@
 	return best, best.Address != self.Address
 }
 
+// other returns a node of any zone that has not been asked in vain a while ago.
+func (f *freshener) other() (chivegauge.Member, bool) {
+	self := f.members.Self()
+	now := timekeeper.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []chivegauge.Member
+	for _, m := range f.members.Alive() {
+		if m.Address != self.Address && !now.Before(f.missed[m.Address]) {
+			list = append(list, m)
+		}
+	}
+	if len(list) == 0 {
+		return chivegauge.Member{}, false
+	}
+	return list[rand.IntN(len(list))], true
+}
+
 // readerKey is the key by whose hash the reader of a zone is chosen.
 const readerKey = "reader"
 
@@ -59,24 +78,39 @@
 	ctx, cancel := context.WithTimeout(ctx, cfg.AskWait+cfg.AskTimeout)
 	defer cancel()
 	p, err := f.asker.Prove(ctx, m, r.Version(), cfg.AskWait)
-	if err != nil || p.Age > cfg.AskAge || p.Version < r.Version() {
-		f.log.Info().Err(err).Str("Reader", m.Address).Dur("ProofAgeMs", p.Age).Uint64("Version", p.Version).Msg("no proof from the reader of the zone; reading the source")
-		f.mu.Lock()
-		f.missed[m.Address] = timekeeper.Now().Add(missPause)
-		f.mu.Unlock()
+	behind := err == nil && p.Version < r.Version()
+	if err != nil || p.Age > cfg.AskAge || behind {
+		f.log.Info().Err(err).Str("Reader", m.Address).Dur("ProofAgeMs", p.Age).Uint64("Version", p.Version).Msg("no proof from another node")
+		f.miss(m.Address, behind)
 		return false
 	}
+	proof := sent.Add(-p.Age)
 	if p.Document != nil {
-		f.accept(*p.Document)
+		f.accept(*p.Document, proof)
 	}
-	f.prove(sent.Add(-p.Age))
+	f.prove(proof)
 	return true
 }
 
+// miss passes a node over for a while that gave no proof; one that is behind is about to hear of the newer version.
+func (f *freshener) miss(address string, behind bool) {
+	if behind {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.missed[address] = timekeeper.Now().Add(missPause)
+}
+
 // prove takes a proof in, unless there is a younger one.
 func (f *freshener) prove(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.proved(at)
+}
+
+// proved is prove with f.mu held.
+func (f *freshener) proved(at time.Time) {
 	if at.After(f.proof) {
 		f.proof = at
 	}
