--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -183,15 +183,6 @@
 // serve builds what carries requests.
 func (n *node) serve() {
 	s := n.settings
-	limit := limiter.NewDeclared(slotsPart)
-	gate := gatekeeper.New(time.Now, limit, scheduler.New(queueMax), gatekeeper.WithMaxWait(queueTime))
-	backend := connector.New(connector.Config{
-		Address:     s.Backend,
-		DialTimeout: dialTimeout,
-		KeepFor:     backendKeep,
-		Attempt:     s.Names.Attempt,
-		HoldBytes:   holdBytes,
-	})
 	requests := n.log.Sample(zerolog.LevelSampler{
 		InfoSampler: &zerolog.BurstSampler{
 			Burst:  answeredLines,
@@ -202,33 +193,24 @@
 			Period: time.Second,
 		},
 	})
+	limit := limiter.NewDeclared(slotsPart)
 	room := limiter.NewMarked(limit)
 	links := linker.New()
-	n.guardian = guardian.New(guardian.Config{
-		Names:    s.Names,
-		Gate:     gate,
-		Callers:  gatekeeper.New(time.Now, room, scheduler.New(queueMax), gatekeeper.WithMaxWait(queueTime)),
-		Links:    links,
-		Limit:    limit,
-		Backend:  backend,
-		Suspects: n.suspects,
-		Log:      requests,
-	})
-	remote := courier.New(courier.Config{
-		DialTimeout: dialTimeout,
-		Silence:     peerSilence,
-		KeepFor:     peerKeep,
-		Attempt:     s.Names.Attempt,
-		HoldBytes:   holdBytes,
-	})
+	n.guardian = n.guard(limit, room, links, requests)
 	n.forward = forwarder.New(forwarder.Config{
-		Now:      timekeeper.Now,
-		Names:    s.Names,
-		Config:   n.config,
-		Members:  n.members,
-		Rates:    n.drawer,
-		Local:    n.guardian,
-		Remote:   remote,
+		Now:     timekeeper.Now,
+		Names:   s.Names,
+		Config:  n.config,
+		Members: n.members,
+		Rates:   n.drawer,
+		Local:   n.guardian,
+		Remote: courier.New(courier.Config{
+			DialTimeout: dialTimeout,
+			Silence:     peerSilence,
+			KeepFor:     peerKeep,
+			Attempt:     s.Names.Attempt,
+			HoldBytes:   holdBytes,
+		}),
 		Picker:   picker.New(s.Member.Zone, s.Member.Region),
 		Links:    links,
 		Room:     room,
@@ -251,6 +233,31 @@
 	}, peerLimits)
 }
 
+// guard builds what stands before the backend server: a gate within its slots, and one before that within the room that
+// the calls of its requests find.
+func (n *node) guard(limit limiter.Declared, room limiter.Limiter, links linker.Linker, log zerolog.Logger) guardian.Guardian {
+	s := n.settings
+	gate := func(l limiter.Limiter) gatekeeper.Gatekeeper {
+		return gatekeeper.New(time.Now, l, scheduler.New(queueMax), gatekeeper.WithMaxWait(queueTime))
+	}
+	return guardian.New(guardian.Config{
+		Names:   s.Names,
+		Gate:    gate(limit),
+		Callers: gate(room),
+		Links:   links,
+		Limit:   limit,
+		Backend: connector.New(connector.Config{
+			Address:     s.Backend,
+			DialTimeout: dialTimeout,
+			KeepFor:     backendKeep,
+			Attempt:     s.Names.Attempt,
+			HoldBytes:   holdBytes,
+		}),
+		Suspects: n.suspects,
+		Log:      log,
+	})
+}
+
 func (n *node) limits() acceptor.Limits {
 	l := peerLimits()
 	r, ok := n.config.Router()
--- a/internal/cluster/freshener/freshener_test.go
+++ b/internal/cluster/freshener/freshener_test.go
@@ -50,10 +50,10 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *source) setCut(name string, on bool) {
+func (s *source) cutOff(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cut[name] = on
+	s.cut[name] = true
 }
 
 func (s *source) count(name string) int {
@@ -231,7 +231,7 @@
 			s := newSource()
 			z := start(t, s, young, "a", "b", "c")
 			z.wait(t, "first version", version(1))
-			s.setCut(name, true)
+			s.cutOff(name)
 			s.put(2)
 			z.wait(t, "next version", version(2))
 			z.wait(t, "a young proof", func(f freshener.Freshener) bool { return f.Age() < young })
@@ -255,8 +255,8 @@
 	s := newSource()
 	z := start(t, s, young, "x/a", "x/b", "y/a", "y/b")
 	z.wait(t, "first version", version(1))
-	s.setCut("x/a", true)
-	s.setCut("x/b", true)
+	s.cutOff("x/a")
+	s.cutOff("x/b")
 	for n := uint64(2); n < 5; n++ {
 		s.put(n)
 		z.wait(t, "next version", version(n))
@@ -271,7 +271,7 @@
 	z := start(t, s, young, "a", "b", "c")
 	z.wait(t, "first version", version(1))
 	for name := range z.nodes {
-		s.setCut(name, true)
+		s.cutOff(name)
 	}
 	lost := time.Now()
 	time.Sleep(400 * time.Millisecond)
--- a/internal/request/hopper/load_test.go
+++ b/internal/request/hopper/load_test.go
@@ -18,11 +18,16 @@
 		Failing: 0.125,
 	}
 	is.Equal(hopper.DecodeLoad(hopper.EncodeLoad(l)), l)
+	three := picker.Load{
+		Running: 1,
+		Waiting: 2,
+		Limit:   3,
+	}
 	tests := map[string]struct {
 		text string
 		want picker.Load
 	}{
-		"without failures": {text: "1/2/3", want: picker.Load{Running: 1, Waiting: 2, Limit: 3}},
+		"without failures": {text: "1/2/3", want: three},
 		"too short":        {text: "1/2"},
 		"no numbers":       {text: "1/x/3"},
 		"below zero":       {text: "1/-2/3"},
