--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -213,6 +213,7 @@
 		}),
 		Picker:   picker.New(s.Member.Zone, s.Member.Region),
 		Links:    links,
+		Suspects: n.suspects,
 		Room:     room,
 		Budget:   budgeter.NewWindow(retryShare(s.Bounds.RetryRatio), 0, s.RetryWindow),
 		Meter:    n.meter,
--- a/internal/app/assembler/peers.go
+++ b/internal/app/assembler/peers.go
@@ -44,7 +44,7 @@
 	case r.Header.Get(headerRecord) != "":
 		err = p.learn(r)
 	case r.Header.Get(headerDraw) != "":
-		out, err = p.give(r)
+		out, err = p.give(ctx, r)
 	case r.Header.Get(headerProve) != "":
 		out, err = p.prove(ctx, r)
 	case r.Header.Get(headerBlame) != "":
@@ -81,7 +81,7 @@
 	return nil
 }
 
-func (p *peers) give(r *carrier.Request) (drawer.Grant, error) {
+func (p *peers) give(ctx context.Context, r *carrier.Request) (drawer.Grant, error) {
 	d := drawer.Draw{}
 	if err := json.NewDecoder(r.Body).Decode(&d); err != nil {
 		return drawer.Grant{}, errors.Wrap(err, "decode draw")
@@ -89,7 +89,7 @@
 	if !p.ready() {
 		return drawer.Grant{}, drawer.ErrNotServing
 	}
-	return p.drawer.Give(d), nil
+	return p.drawer.Give(ctx, d), nil
 }
 
 // question asks what a node has in force.
--- a/internal/request/drawer/drawer.go
+++ b/internal/request/drawer/drawer.go
@@ -30,6 +30,17 @@
 
 	// triesMax is the number of nodes that one draw asks.
 	triesMax = 2
+
+	// relayTimeout bounds a draw that is passed on for another node, which waits for drawTimeout; at each further node
+	// it is half of that.
+	relayTimeout = drawTimeout / 2
+
+	// relaysMax is the number of nodes that pass one draw on.
+	relaysMax = 2
+
+	// probePause is the time after which a node that hands out in place of another asks again whether that one is back;
+	// until then both may hand out.
+	probePause = 200 * time.Millisecond
 )
 
 // ErrNotServing is returned by a node that does not hand out tokens.
@@ -39,6 +50,9 @@
 type Draw struct {
 	Workspace string
 	Want      int
+
+	// Relays is how many nodes passed the draw on that were taken for the one that hands out and are not.
+	Relays int `json:",omitempty"`
 }
 
 // Grant is the answer to a draw; Wait is the time until there is another token.
@@ -66,8 +80,8 @@
 	Resize(nodes int)
 	// Take spends a token for a request, or returns how long it is until there is one.
 	Take(ctx context.Context, workspace string) (ok bool, wait time.Duration)
-	// Give hands out tokens to another node.
-	Give(d Draw) Grant
+	// Give hands out tokens to another node, or draws them for it from the node that does.
+	Give(ctx context.Context, d Draw) Grant
 	// Regained takes in that a node has spoken again.
 	Regained(address string)
 }
@@ -93,6 +107,7 @@
 	lines      map[string]*line
 	lost       map[string]loss
 	keeps      map[string]bool
+	probed     time.Time
 }
 
 // line is the requests of one workspace that wait for tokens.
@@ -320,29 +335,3 @@
 	defer d.mu.Unlock()
 	delete(d.lost, address)
 }
-
-// Give hands out tokens to another node.
-func (d *drawer) Give(w Draw) Grant {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.keep(w.Workspace, true)
-	granted, wait := d.kept.Take(d.now(), w.Workspace, w.Want)
-	return Grant{
-		Granted: granted,
-		Wait:    wait,
-	}
-}
-
-// giveSelf hands out tokens to this node, within its bound.
-func (d *drawer) giveSelf(w Draw) Grant {
-	d.mu.Lock()
-	allowed, wait := d.self.Take(d.now(), w.Workspace, w.Want)
-	d.mu.Unlock()
-	if allowed == 0 {
-		return Grant{
-			Wait: wait,
-		}
-	}
-	w.Want = allowed
-	return d.Give(w)
-}
--- a/internal/request/drawer/drawer_test.go
+++ b/internal/request/drawer/drawer_test.go
@@ -29,17 +29,21 @@
 func (s seat) Self() chivegauge.Member    { return s.self }
 func (s seat) Alive() []chivegauge.Member { return s.members }
 
-func (s seat) Draw(_ context.Context, m chivegauge.Member, d drawer.Draw) (drawer.Grant, error) {
+func (s seat) Draw(ctx context.Context, m chivegauge.Member, d drawer.Draw) (drawer.Grant, error) {
 	if _, cut := s.cut.Load(m.Address); cut {
 		return drawer.Grant{}, errors.New("cut off")
 	}
 	if _, cut := s.cut.Load(s.self.Address); cut {
 		return drawer.Grant{}, errors.New("cut off")
 	}
-	return s.nodes[m.Address].Give(d), nil
+	return s.nodes[m.Address].Give(ctx, d), nil
 }
 
 func newFleet(names string, initial float64, list []chivegauge.Workspace) *fleet {
+	return newFleetAt(time.Now, names, initial, list)
+}
+
+func newFleetAt(now func() time.Time, names string, initial float64, list []chivegauge.Workspace) *fleet {
 	f := &fleet{
 		nodes: map[string]drawer.Drawer{},
 	}
@@ -53,7 +57,7 @@
 			fleet: f,
 			self:  m,
 		}
-		d := drawer.New(time.Now, s, s, initial)
+		d := drawer.New(now, s, s, initial)
 		d.Resize(len(f.members))
 		d.Configure(list)
 		f.nodes[m.Address] = d
@@ -154,6 +158,40 @@
 	is.True(float64(taken) <= allowed)
 }
 
+// TestOneHandsOut states that no two nodes hand out for long, where some still take the first one for lost that is back.
+func TestOneHandsOut(t *testing.T) {
+	is := is.New(t)
+	now := atomic.Int64{}
+	f := newFleetAt(func() time.Time { return time.Unix(0, now.Load()) }, "abcdef", 0, golf())
+	first := f.members[0]
+	for _, m := range f.members {
+		if m.Weight("golf") > first.Weight("golf") {
+			first = m
+		}
+	}
+	other := f.members[0]
+	if other == first {
+		other = f.members[1]
+	}
+	want := drawer.Draw{
+		Workspace: "golf",
+		Want:      100,
+	}
+	f.cut.Store(first.Address, true)
+	f.nodes[other.Address].Give(context.Background(), want) // it takes the first one for lost now
+	f.cut.Delete(first.Address)
+	granted := 0
+	const steps = 16
+	for range steps {
+		now.Add(int64(50 * time.Millisecond))
+		granted += f.nodes[first.Address].Give(context.Background(), want).Granted
+		granted += f.nodes[other.Address].Give(context.Background(), want).Granted
+		time.Sleep(5 * time.Millisecond) // it asks in the background whether the first one is back
+	}
+	allowed := burst + rate*(steps*0.05+0.25)
+	is.True(float64(granted) <= allowed)
+}
+
 // TestStartsEmpty states that nodes which start after others may have spent the burst do not have it again.
 func TestStartsEmpty(t *testing.T) {
 	is := is.New(t)
--- a/internal/request/suspector/suspector.go
+++ b/internal/request/suspector/suspector.go
@@ -34,6 +34,9 @@
 
 // News is what nodes tell each other: the deaths counted against requests by fingerprint, and requests that survived.
 type News struct {
+	// From is the address of a node that wants to hear of more deaths than it knows.
+	From string `json:",omitempty"`
+
 	Deaths   map[uint64]int `json:",omitempty"`
 	Survived []uint64       `json:",omitempty"`
 }
@@ -177,18 +180,36 @@
 	}
 }
 
-// Learn takes in the news of another node.
+// Learn takes in the news of another node; one that knows of fewer deaths, as after its start, is told.
 func (s *suspector) Learn(now time.Time, n News) {
+	if more := s.learn(now, n); len(more) > 0 && n.From != "" {
+		s.group.Go(func() {
+			s.send(context.Background(), chivegauge.Member{
+				Address: n.From,
+			}, News{
+				Deaths: more,
+			})
+		})
+	}
+}
+
+// learn returns the requests against which more deaths are known here.
+func (s *suspector) learn(now time.Time, n News) map[uint64]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	more := map[uint64]int{}
 	for f, deaths := range n.Deaths {
-		if deaths > s.records[f].deaths {
+		known := s.records[f].deaths
+		if deaths > known {
 			s.keep(now, f, deaths)
+		} else if deaths < known {
+			more[f] = known
 		}
 	}
 	for _, f := range n.Survived {
 		delete(s.records, f)
 	}
+	return more
 }
 
 // tell wakes Serve; s.mu is held.
@@ -224,16 +245,19 @@
 // spread sends the news to each other node; one that misses it learns the count with the next death.
 func (s *suspector) spread(ctx context.Context, n News) {
 	self := s.members.Self().Address
+	n.From = self
 	for _, m := range s.members.Alive() {
 		if m.Address == self {
 			continue
 		}
-		s.group.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, tellTime)
-			defer cancel()
-			if err := s.teller.Suspect(ctx, m, n); err != nil {
-				s.log.Debug().Err(err).Str("Node", m.Address).Msg("node not told of deaths of backend servers")
-			}
-		})
+		s.group.Go(func() { s.send(ctx, m, n) })
+	}
+}
+
+func (s *suspector) send(ctx context.Context, m chivegauge.Member, n News) {
+	ctx, cancel := context.WithTimeout(ctx, tellTime)
+	defer cancel()
+	if err := s.teller.Suspect(ctx, m, n); err != nil {
+		s.log.Debug().Err(err).Str("Member", m.Address).Msg("node not told of deaths of backend servers")
 	}
 }
--- a/internal/request/suspector/suspector_test.go
+++ b/internal/request/suspector/suspector_test.go
@@ -147,3 +147,20 @@
 	eventually(t, "cleared everywhere", known(popular, false))
 	is.True(known(poison, true)())
 }
+
+// TestStartedAnew states that a node which knows of fewer deaths than the others hears of them with the first one it sees.
+func TestStartedAnew(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	const poison = uint64(7)
+	for _, address := range []string{"a", "b"} {
+		f.nodes[address].Learn(start, suspector.News{
+			Deaths: map[uint64]int{
+				poison: 4,
+			},
+		})
+	}
+	f.nodes["c"].Died(start, []uint64{poison})
+	eventually(t, "refused at the node that did not know", func() bool { return f.nodes["c"].Refuses(start, poison) })
+	is.True(f.nodes["a"].Refuses(start, poison))
+}
--- a/internal/stream/forwarder/attempts.go
+++ b/internal/stream/forwarder/attempts.go
@@ -41,7 +41,8 @@
 	return t.conclude(c), t.tried
 }
 
-// prepare holds a small body, and lets only repeatable requests run ahead of others on their connection.
+// prepare holds a small body, lets only repeatable requests run ahead of others on their connection, and refuses those
+// under which backend servers died.
 func (f *forwarder) prepare(ctx context.Context, c chivegauge.Call, r *carrier.Request) *chivegauge.Refusal {
 	if !c.Idempotent && r.Turn != nil {
 		select {
@@ -53,6 +54,9 @@
 	if err := r.Hold(f.HoldMax); err != nil {
 		return chivegauge.Refuse(chivegauge.CodeBadRequest, "the body did not arrive: "+err.Error())
 	}
+	if !f.Suspects.Empty() && f.Suspects.Refuses(time.Now(), chivegauge.Fingerprint(c.Workspace, c.Route, r.Method, r.Target, r.Held())) {
+		return chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request")
+	}
 	return nil
 }
 
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -67,6 +67,12 @@
 	Attempted(refusal *chivegauge.Refusal)
 }
 
+// Suspects are the requests under which backend servers died.
+type Suspects interface {
+	Empty() bool
+	Refuses(now time.Time, fingerprint uint64) bool
+}
+
 // Links find the requests that make calls.
 type Links interface {
 	Called(now time.Time, route chivegauge.Route, deadline time.Time) (chivegauge.Importance, bool)
@@ -91,6 +97,10 @@
 	Remote  Courier
 	Picker  picker.Picker
 	Links   Links
+
+	// Suspects are refused before they are sent, also to nodes that have not heard of them.
+	Suspects Suspects
+
 	Room    Room
 	Budget  budgeter.Window
 	Meter   Meter
--- a/internal/stream/forwarder/forwarder_test.go
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -21,6 +21,7 @@
 // world is what a forwarder sees: a configuration, members, rates and answers of other nodes in turn.
 type world struct {
 	parent  chivegauge.Importance
+	suspect bool
 	marks   []bool
 	now     time.Time
 	router  router.Router
@@ -70,6 +71,10 @@
 	return w.parent, w.parent != 0
 }
 
+func (w *world) Empty() bool { return !w.suspect }
+
+func (w *world) Refuses(time.Time, uint64) bool { return w.suspect }
+
 func (w *world) FromHere(string) bool { return w.parent != 0 }
 
 func (w *world) Mark(_ time.Time, marked bool) { w.marks = append(w.marks, marked) }
@@ -134,6 +139,7 @@
 		Remote:   w,
 		Picker:   picker.NewRoundRobin(),
 		Links:    w,
+		Suspects: w,
 		Room:     w,
 		Budget:   budgeter.NewWindow(share, 0, time.Minute),
 		Meter:    w,
@@ -240,6 +246,7 @@
 		"old proof and unknown key": {target: "/write/1", key: "k2", change: func(w *world) { w.age = 5 * time.Second }, status: 503},
 		"old proof, open":           {target: "/open/1", change: func(w *world) { w.age = 5 * time.Second }, status: 200, sends: 1},
 		"above rate":                {target: "/write/1", key: "k1", change: func(w *world) { w.dry = true }, status: 429},
+		"suspect":                   {target: "/write/1", key: "k1", change: func(w *world) { w.suspect = true }, status: 503},
 		"no member":                 {target: "/write/1", key: "k1", change: func(w *world) { w.members = 0 }, status: 503},
 	}
 	for name, tt := range tests {
--- a/internal/stream/guardian/death.go
+++ b/internal/stream/guardian/death.go
@@ -1,6 +1,7 @@
 package guardian
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -44,14 +45,19 @@
 	g.broken = broken{}
 }
 
-// survived takes in that the backend server answered a request sent at the time: it lived then.
-func (g *guardian) survived(sent time.Time, c chivegauge.Call, r *carrier.Request) {
-	if !g.Suspects.Empty() {
+// answered takes in that the backend server answered a request sent at the time: it lived then, unless another one
+// answered in its place.
+func (g *guardian) answered(sent time.Time, a *carrier.Answer, c chivegauge.Call, r *carrier.Request) {
+	another := a.Status == http.StatusMisdirectedRequest
+	if !another && !g.Suspects.Empty() {
 		g.Suspects.Survived(fingerprint(c, r))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if sent.After(g.broken.last) {
+	switch {
+	case another:
+		g.died(time.Now())
+	case sent.After(g.broken.last):
 		g.broken = broken{}
 	}
 }
--- a/internal/stream/guardian/guardian.go
+++ b/internal/stream/guardian/guardian.go
@@ -233,7 +233,7 @@
 		g.leave(pass, true)
 		return carrier.Refusal(g.failure(ctx, err, c, r))
 	}
-	g.survived(now, c, r)
+	g.answered(now, a, c, r)
 	a.OnRelease(func() { g.Links.End(run) })
 	return g.judge(a, pass)
 }
--- a/internal/stream/guardian/guardian_test.go
+++ b/internal/stream/guardian/guardian_test.go
@@ -204,13 +204,14 @@
 		answers []func(context.Context) (*carrier.Answer, error)
 		died    int
 	}{
-		"broke off, then closed":           {answers: []func(context.Context) (*carrier.Answer, error){fails(true), fails(true), refused}, died: 2},
-		"broke off, then answered":         {answers: []func(context.Context) (*carrier.Answer, error){fails(true), ok, refused}},
-		"broke off, then not reached":      {answers: []func(context.Context) (*carrier.Answer, error){fails(true), fails(false)}},
-		"closed with nothing broken off":   {answers: []func(context.Context) (*carrier.Answer, error){ok, refused}},
-		"broke off, then started anew":     {answers: []func(context.Context) (*carrier.Answer, error){fails(true)}, died: 1},
-		"answered, then started anew":      {answers: []func(context.Context) (*carrier.Answer, error){ok}},
-		"broke off, closed, started again": {answers: []func(context.Context) (*carrier.Answer, error){fails(true), refused}, died: 1},
+		"broke off, then closed":               {answers: []func(context.Context) (*carrier.Answer, error){fails(true), fails(true), refused}, died: 2},
+		"broke off, then answered":             {answers: []func(context.Context) (*carrier.Answer, error){fails(true), ok, refused}},
+		"broke off, then not reached":          {answers: []func(context.Context) (*carrier.Answer, error){fails(true), fails(false)}},
+		"broke off, then another in its place": {answers: []func(context.Context) (*carrier.Answer, error){fails(true), status(http.StatusMisdirectedRequest, http.Header{}), ok}, died: 1},
+		"closed with nothing broken off":       {answers: []func(context.Context) (*carrier.Answer, error){ok, refused}},
+		"broke off, then started anew":         {answers: []func(context.Context) (*carrier.Answer, error){fails(true)}, died: 1},
+		"answered, then started anew":          {answers: []func(context.Context) (*carrier.Answer, error){ok}},
+		"broke off, closed, started again":     {answers: []func(context.Context) (*carrier.Answer, error){fails(true), refused}, died: 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
