--- a/internal/app/supervisor/parts.go
+++ b/internal/app/supervisor/parts.go
@@ -99,7 +99,7 @@
 	asks := &recaller{
 		dialer: p.dialer,
 	}
-	p.dedup = deduplicator.New(timekeeper.Now, p.fleet, p.dispatch, p.hopper, asks, p.gone, p.retention)
+	p.dedup = deduplicator.New(timekeeper.Now, timekeeper.Rest, p.fleet, p.dispatch, p.hopper, asks, p.gone, p.retention)
 	p.dedup.Forgetful(timekeeper.Now().Add(forever))
 	tells := &teller{
 		dialer: p.dialer,
--- a/internal/base/timekeeper/timekeeper.go
+++ b/internal/base/timekeeper/timekeeper.go
@@ -1,6 +1,7 @@
 package timekeeper
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -16,6 +17,16 @@
 	return startWall.Add(boot() - startBoot)
 }
 
+// Rest waits for the time, or until the context ends.
+func Rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func boot() time.Duration {
 	ts := unix.Timespec{}
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
--- a/internal/measure/driver/driver.go
+++ b/internal/measure/driver/driver.go
@@ -45,8 +45,14 @@
 	Code     string
 	Run      string
 	Sends    int
+
+	// Reason is the start of the answer to a request that was not served.
+	Reason string
 }
 
+// reasonBytes is the part of a failure's answer that is kept.
+const reasonBytes = 200
+
 // Driver sends streams.
 type Driver interface {
 	// Run sends the streams for the duration and returns the outcome of each request.
@@ -174,6 +180,9 @@
 	o.Code = res.Header.Get(chivegauge.HeaderCode)
 	o.Run = res.Header.Get(chivegauge.HeaderRun)
 	o.Whole = res.StatusCode == http.StatusOK && strings.Contains(string(body), id)
+	if !o.Whole {
+		o.Reason = string(body[:min(len(body), reasonBytes)])
+	}
 	if res.StatusCode != http.StatusOK && o.Code == "" {
 		o.Code = fmt.Sprintf("Status%d", res.StatusCode)
 	}
--- a/internal/request/deduplicator/deduplicator.go
+++ b/internal/request/deduplicator/deduplicator.go
@@ -17,7 +17,12 @@
 	keysMax     = 200000
 	answerBytes = 16 << 20
 	recallTime  = time.Second
-	forwardsMax = 2
+
+	// forwardsMax is the number of times that a call is forwarded towards the owner of its key. Where nodes do not agree on
+	// the owner, as when one is leaving, each further time comes after twice the pause, 0.6 s in all, in which a member
+	// that leaves has told all nodes.
+	forwardsMax  = 6
+	forwardPause = 10 * time.Millisecond
 )
 
 // ErrForgetful is returned by a node that may have forgotten the key that it is asked for.
@@ -72,6 +77,7 @@
 	remote   Remote
 	recaller Recaller
 	gone     func(address string) bool
+	rest     Rest
 
 	retention time.Duration
 
@@ -82,9 +88,12 @@
 	sequence  uint64
 }
 
+// Rest waits for the time, or until the context ends.
+type Rest func(ctx context.Context, d time.Duration)
+
 // New returns a deduplicator in front of a dispatcher; gone reports whether an operator
 // declared an address gone, retention is how long a key is remembered.
-func New(now func() time.Time, m Members, next Dispatcher, r Remote, x Recaller, gone func(address string) bool, retention time.Duration) Deduplicator {
+func New(now func() time.Time, rest Rest, m Members, next Dispatcher, r Remote, x Recaller, gone func(address string) bool, retention time.Duration) Deduplicator {
 	return &deduplicator{
 		retention: retention,
 		now:       now,
@@ -93,6 +102,7 @@
 		remote:    r,
 		recaller:  x,
 		gone:      gone,
+		rest:      rest,
 		keys:      rememberer.New(retention, keysMax, answerBytes),
 		waiting:   map[string]chan struct{}{},
 	}
@@ -140,9 +150,12 @@
 	if owner.Address == d.members.Self().Address {
 		return d.Own(ctx, c)
 	}
-	if owner.State == chivegauge.Dead || c.Forwards >= forwardsMax {
+	if owner.State == chivegauge.Dead {
 		return uncertain(c, "the node that remembers the idempotency key is away")
 	}
+	if c.Forwards >= forwardsMax {
+		return uncertain(c, "the nodes do not agree on which of them remembers the idempotency key")
+	}
 	id := c.AttemptID
 	c = c.WithForwards(c.Forwards+1).WithAttempt(d.attempt(), c.Tokens)
 	answer, _ := d.remote.Hop(ctx, owner, c)
@@ -176,9 +189,12 @@
 	if a, ok := d.remembered(ctx, c, key); ok {
 		return a
 	}
-	ranking := rememberer.Ranking(d.members.Service(c.Service), key, d.gone)
-	self := d.members.Self().Address
-	if len(ranking) > 0 && ranking[0].Address != self {
+	ranking, elsewhere := d.ranking(c.Service, key)
+	if elsewhere && c.Forwards > 0 {
+		d.rest(ctx, forwardPause<<(c.Forwards-1))
+		ranking, elsewhere = d.ranking(c.Service, key)
+	}
+	if elsewhere {
 		return d.toOwner(ctx, ranking[0], c)
 	}
 	if d.isForgetful() || d.yielded(key) {
@@ -190,6 +206,12 @@
 	return d.run(ctx, c, key)
 }
 
+// ranking returns the nodes that may own the key, the owner first, and whether that is another node.
+func (d *deduplicator) ranking(service, key string) ([]chivegauge.Member, bool) {
+	list := rememberer.Ranking(d.members.Service(service), key, d.gone)
+	return list, len(list) > 0 && list[0].Address != d.members.Self().Address
+}
+
 func (d *deduplicator) isForgetful() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
