--- a/internal/request/deduplicator/forward_test.go
+++ b/internal/request/deduplicator/forward_test.go
@@ -85,15 +85,15 @@
 			}
 			now := func() time.Time { return time.Unix(1000, 0) }
 			rest := func(_ context.Context, d time.Duration) { p.rested += d }
-			make := func(self string) deduplicator.Deduplicator {
+			node := func(self string) deduplicator.Deduplicator {
 				h := half{
 					pair: p,
 					self: self,
 				}
 				return deduplicator.New(now, rest, h, h, h, h, func(string) bool { return false }, time.Minute)
 			}
-			p.leaving = make("leaving")
-			p.staying = make("staying")
+			p.leaving = node("leaving")
+			p.staying = node("staying")
 			a := p.staying.Dispatch(context.Background(), chivegauge.Call{
 				Service:        service,
 				IdempotencyKey: "k",
