Use one piece of code where the change had written a second one

The time for which a request is moved on follows the gate's queue time instead of repeating its figure. Two counters of linker's candidates became one, a flag that made a call do nothing went.

--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -219,6 +219,7 @@
 		Meter:    n.meter,
 		Log:      requests,
 		HoldMax:  holdBytes,
+		MoveTime: queueTime,
 		ProofMax: n.proofMax,
 	})
 	n.members.Listen(n.forward.Resize)
--- a/internal/app/assembler/gauges.go
+++ b/internal/app/assembler/gauges.go
@@ -1,36 +1,18 @@
 package assembler
 
-import (
-	"github.com/chivegauge/chivegauge/internal/policy/picker"
-	"github.com/chivegauge/chivegauge/internal/telemetry/meter"
-)
+import "github.com/chivegauge/chivegauge/internal/telemetry/meter"
 
 // observe registers what is read when the metrics are.
 func (n *node) observe() error {
-	load := func(f func(picker.Load) float64) func() float64 {
-		return func() float64 { return f(n.guardian.Load()) }
+	if err := n.meter.Observe(meter.Backend(n.guardian.Load)...); err != nil {
+		return err
 	}
 	return n.meter.Observe(
-		meter.Gauge{
-			Name:        "chivegauge.backend.running",
-			Description: "Requests that run on the backend server",
-			Read:        load(func(l picker.Load) float64 { return float64(l.Running) }),
-		},
-		meter.Gauge{
-			Name:        "chivegauge.backend.waiting",
-			Description: "Requests that wait for the backend server",
-			Read:        load(func(l picker.Load) float64 { return float64(l.Waiting) }),
-		},
-		meter.Gauge{
-			Name:        "chivegauge.backend.limit",
-			Description: "Requests that may run on the backend server at once",
-			Read:        load(func(l picker.Load) float64 { return float64(l.Limit) }),
-		},
 		meter.Gauge{
 			Name:        "chivegauge.backend.failing",
 			Description: "Share of the latest runs that failed, from 0 to 1",
 			Unit:        "1",
-			Read:        load(func(l picker.Load) float64 { return l.Failing }),
+			Read:        func() float64 { return n.guardian.Load().Failing },
 		},
 		meter.Gauge{
 			Name:        "chivegauge.requests.open",
--- a/internal/app/assembler/peers.go
+++ b/internal/app/assembler/peers.go
@@ -71,10 +71,19 @@
 	return a
 }
 
+// decode returns the message in the body of the request.
+func decode[T any](r *carrier.Request, what string) (T, error) {
+	var message T
+	if err := json.NewDecoder(r.Body).Decode(&message); err != nil {
+		return message, errors.Wrap(err, "decode "+what)
+	}
+	return message, nil
+}
+
 func (p *peers) learn(r *carrier.Request) error {
-	rec := registrar.Record{}
-	if err := json.NewDecoder(r.Body).Decode(&rec); err != nil {
-		return errors.Wrap(err, "decode record")
+	rec, err := decode[registrar.Record](r, "record")
+	if err != nil {
+		return err
 	}
 	p.records.Learn(rec)
 	p.drawer.Regained(rec.Member.Address)
@@ -82,9 +91,9 @@
 }
 
 func (p *peers) give(ctx context.Context, r *carrier.Request) (drawer.Grant, error) {
-	d := drawer.Draw{}
-	if err := json.NewDecoder(r.Body).Decode(&d); err != nil {
-		return drawer.Grant{}, errors.Wrap(err, "decode draw")
+	d, err := decode[drawer.Draw](r, "draw")
+	if err != nil {
+		return drawer.Grant{}, err
 	}
 	if !p.ready() {
 		return drawer.Grant{}, drawer.ErrNotServing
@@ -99,17 +108,17 @@
 }
 
 func (p *peers) prove(ctx context.Context, r *carrier.Request) (freshener.Proof, error) {
-	q := question{}
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		return freshener.Proof{}, errors.Wrap(err, "decode question")
+	q, err := decode[question](r, "question")
+	if err != nil {
+		return freshener.Proof{}, err
 	}
 	return p.config.Tell(ctx, q.Have, q.Wait), nil
 }
 
 func (p *peers) blame(r *carrier.Request) error {
-	n := suspector.News{}
-	if err := json.NewDecoder(r.Body).Decode(&n); err != nil {
-		return errors.Wrap(err, "decode deaths")
+	n, err := decode[suspector.News](r, "deaths")
+	if err != nil {
+		return err
 	}
 	p.suspects.Learn(time.Now(), n)
 	return nil
--- a/internal/app/supervisor/backend.go
+++ b/internal/app/supervisor/backend.go
@@ -6,6 +6,7 @@
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/app/stager"
+	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 )
 
 const backendPoll = 50 * time.Millisecond
@@ -24,7 +25,7 @@
 		v.log.Warn().Msg("backend server down")
 		v.parts.fleet.SetState(chivegauge.Draining)
 		for !v.parts.executor.Up() && ctx.Err() == nil {
-			pause(ctx, backendPoll)
+			timekeeper.Rest(ctx, backendPoll)
 		}
 		v.parts.executor.ColdStart()
 		if v.stage.Stage() == stager.Ready {
--- a/internal/app/supervisor/gauges.go
+++ b/internal/app/supervisor/gauges.go
@@ -4,22 +4,10 @@
 
 // gauges registers the values that are read when the metrics are.
 func (v *supervisor) gauges() error {
+	if err := v.parts.meter.Observe(meter.Backend(v.parts.executor.Load)...); err != nil {
+		return err
+	}
 	return v.parts.meter.Observe(
-		meter.Gauge{
-			Name:        "chivegauge.backend.running",
-			Description: "Requests running on the backend server",
-			Read:        func() float64 { return float64(v.parts.executor.Load().Running) },
-		},
-		meter.Gauge{
-			Name:        "chivegauge.backend.waiting",
-			Description: "Requests waiting for the backend server",
-			Read:        func() float64 { return float64(v.parts.executor.Load().Waiting) },
-		},
-		meter.Gauge{
-			Name:        "chivegauge.backend.limit",
-			Description: "Requests that the backend server may run at once",
-			Read:        func() float64 { return float64(v.parts.executor.Load().Limit) },
-		},
 		meter.Gauge{
 			Name:        "chivegauge.configuration.revision",
 			Description: "Revision of the configuration in force",
--- a/internal/app/supervisor/stop.go
+++ b/internal/app/supervisor/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/app/stager"
+	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 )
 
 const (
@@ -22,13 +23,13 @@
 	v.stage.Fire(stager.Stop)
 	v.receiver.Close()
 	v.parts.fleet.SetState(chivegauge.Draining)
-	pause(ctx, tellTime)
+	timekeeper.Rest(ctx, tellTime)
 	v.parts.executor.SetDraining(true)
 	v.wait(ctx)
 	if err := v.parts.slotter.HandOver(ctx); err != nil {
 		v.log.Warn().Err(err).Msg("rate slots not handed over")
 	}
-	pause(ctx, min(v.parts.dedup.Remains(), v.parts.retention))
+	timekeeper.Rest(ctx, min(v.parts.dedup.Remains(), v.parts.retention))
 	if err := v.parts.handOverKeys(ctx); err != nil {
 		v.log.Warn().Err(err).Msg("idempotency keys not handed over; the stop counts as a crash")
 		return
@@ -37,7 +38,7 @@
 	if err := v.parts.announcer.Withdraw(ctx); err != nil {
 		v.log.Warn().Err(err).Msg("announcement not withdrawn")
 	}
-	pause(ctx, leftTime)
+	timekeeper.Rest(ctx, leftTime)
 	v.stage.Fire(stager.Drained)
 }
 
@@ -47,7 +48,7 @@
 		if v.parts.executor.Running() == 0 && v.receiver.Running() == 0 {
 			return
 		}
-		pause(ctx, drainPoll)
+		timekeeper.Rest(ctx, drainPoll)
 	}
 	v.log.Warn().Int("Running", v.parts.executor.Running()).Msg("stopped with requests running")
 }
@@ -77,13 +78,6 @@
 	}
 	v.stage.Fire(stager.Leave)
 	v.parts.fleet.SetState(chivegauge.Draining)
-	pause(ctx, tellTime)
+	timekeeper.Rest(ctx, tellTime)
 	v.parts.executor.SetDraining(true)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/cluster/freshener/freshener.go
+++ b/internal/cluster/freshener/freshener.go
@@ -142,10 +142,7 @@
 
 // rest waits about the pause after a failed call and returns the next one.
 func (f *freshener) rest(ctx context.Context, pause time.Duration) time.Duration {
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause/2 + rand.N(pause)):
-	}
+	timekeeper.Rest(ctx, pause/2+rand.N(pause))
 	return min(2*pause, f.cfg.Load().RetryMax)
 }
 
--- a/internal/cluster/freshener/sharing.go
+++ b/internal/cluster/freshener/sharing.go
@@ -78,10 +78,12 @@
 	ctx, cancel := context.WithTimeout(ctx, cfg.AskWait+cfg.AskTimeout)
 	defer cancel()
 	p, err := f.asker.Prove(ctx, m, r.Version(), cfg.AskWait)
-	behind := err == nil && p.Version < r.Version()
+	behind := err == nil && p.Version < r.Version() // it is about to hear of the newer version
 	if err != nil || p.Age > cfg.AskAge || behind {
 		f.log.Info().Err(err).Str("Reader", m.Address).Dur("ProofAgeMs", p.Age).Uint64("Version", p.Version).Msg("no proof from another node")
-		f.miss(m.Address, behind)
+		if !behind {
+			f.miss(m.Address)
+		}
 		return false
 	}
 	proof := sent.Add(-p.Age)
@@ -92,11 +94,8 @@
 	return true
 }
 
-// miss passes a node over for a while that gave no proof; one that is behind is about to hear of the newer version.
-func (f *freshener) miss(address string, behind bool) {
-	if behind {
-		return
-	}
+// miss passes a node over for a while that gave no proof.
+func (f *freshener) miss(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.missed[address] = timekeeper.Now().Add(missPause)
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 	"github.com/rs/zerolog"
 )
 
@@ -174,10 +175,7 @@
 				pause = r.cfg.YoungPeriod
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause*3/4 + rand.N(pause/2)):
-		}
+		timekeeper.Rest(ctx, pause*3/4+rand.N(pause/2))
 	}
 	r.group.Wait()
 	return ctx.Err()
--- a/internal/policy/picker/picker.go
+++ b/internal/policy/picker/picker.go
@@ -189,12 +189,16 @@
 		cost *= 1 + slowStartFactor*(1-float64(age)/float64(slowStart))
 	}
 	if o.load.Failing > 0 {
-		halves := now.Sub(o.loadAt).Seconds() / failingHalf.Seconds()
-		cost += failingPenalty * o.load.Failing * math.Exp2(-halves)
+		cost += failingPenalty * Fade(o.load.Failing, now.Sub(o.loadAt))
 	}
 	return cost + p.distance(m)
 }
 
+// Fade returns what a share of failed runs still counts after a time without runs.
+func Fade(share float64, passed time.Duration) float64 {
+	return share * math.Exp2(-passed.Seconds()/failingHalf.Seconds())
+}
+
 func (p *picker) distance(m chivegauge.Member) float64 {
 	d := 0.0
 	if m.Zone != p.zone {
--- a/internal/request/deduplicator/deduplicator.go
+++ b/internal/request/deduplicator/deduplicator.go
@@ -139,7 +139,7 @@
 	if c.Idempotent || c.IdempotencyKey == "" {
 		return d.next.Dispatch(ctx, c)
 	}
-	ranking := rememberer.Ranking(d.members.Service(c.Service), Key(c), d.gone)
+	ranking, _ := d.ranking(c.Service, Key(c))
 	if len(ranking) == 0 {
 		return d.next.Dispatch(ctx, c)
 	}
--- a/internal/request/drawer/drawer.go
+++ b/internal/request/drawer/drawer.go
@@ -285,23 +285,34 @@
 // draw asks the node that hands out the tokens of the workspace, or the next one if it does not answer.
 func (d *drawer) draw(ctx context.Context, w Draw) Grant {
 	for range triesMax {
-		m := d.ask(w.Workspace)
-		if m.Address == d.members.Self().Address {
+		g, own, err := d.fetch(ctx, w, drawTimeout)
+		if own {
 			return d.giveSelf(w)
 		}
-		callCtx, cancel := context.WithTimeout(ctx, drawTimeout)
-		g, err := d.asker.Draw(callCtx, m, w)
-		cancel()
 		if err == nil {
 			return g
 		}
-		d.miss(m.Address)
 	}
 	return Grant{
 		Wait: lostFirst,
 	}
 }
 
+// fetch asks the node that hands out the tokens of the workspace, unless that is this one itself; one that does not
+// answer in time is passed over for a while.
+func (d *drawer) fetch(ctx context.Context, w Draw, timeout time.Duration) (g Grant, own bool, err error) {
+	m := d.ask(w.Workspace)
+	if m.Address == d.members.Self().Address {
+		return Grant{}, true, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if g, err = d.asker.Draw(ctx, m, w); err != nil {
+		d.miss(m.Address)
+	}
+	return g, false, err
+}
+
 // ask returns the node to ask for tokens of the workspace.
 func (d *drawer) ask(workspace string) chivegauge.Member {
 	d.mu.Lock()
--- a/internal/request/drawer/handing.go
+++ b/internal/request/drawer/handing.go
@@ -15,17 +15,13 @@
 	timeout := relayTimeout >> w.Relays
 	w.Relays++
 	for tries := 0; tries < triesMax && w.Relays <= relaysMax; tries++ {
-		m := d.ask(w.Workspace)
-		if m.Address == d.members.Self().Address {
+		g, own, err := d.fetch(ctx, w, timeout)
+		if own {
 			break
 		}
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		g, err := d.asker.Draw(callCtx, m, w)
-		cancel()
 		if err == nil {
 			return g
 		}
-		d.miss(m.Address)
 		timeout /= 2
 	}
 	return d.hand(w)
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 	"github.com/chivegauge/chivegauge/internal/policy/quarantiner"
 )
 
@@ -240,10 +241,7 @@
 		if err == nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(repeatPause):
-		}
+		timekeeper.Rest(ctx, repeatPause)
 	}
 }
 
--- a/internal/request/linker/linker.go
+++ b/internal/request/linker/linker.go
@@ -94,7 +94,7 @@
 	l.count()
 	l.parents[parent]++
 	l.calls[route.Name]++
-	return importance, importance >= 0
+	return importance, importance != unknown
 }
 
 // unknown is the importance of a parent that may be one of several.
@@ -123,16 +123,14 @@
 
 // candidates are the running requests that may have made a call.
 type candidates struct {
-	count      int
 	routes     int
 	route      string
 	importance chivegauge.Importance
 }
 
 func (c *candidates) add(r run) {
-	c.count++
 	switch {
-	case c.count == 1:
+	case c.routes == 0:
 		c.routes = 1
 		c.route = r.route
 		c.importance = r.importance
--- a/internal/stream/carrier/carrier.go
+++ b/internal/stream/carrier/carrier.go
@@ -30,16 +30,16 @@
 	return r.Body == nil || ok
 }
 
-// Held returns the body that is held in memory, nothing for one that is a stream.
-func (r *Request) Held() []byte {
-	b, ok := r.Body.(*bytes.Reader)
-	if !ok {
-		return nil
+// Fingerprint returns the fingerprint of the request for the workspace on the route; of its body only what is held in
+// memory counts.
+func (r *Request) Fingerprint(workspace, route string) uint64 {
+	var body []byte
+	if b, ok := r.Body.(*bytes.Reader); ok {
+		body = make([]byte, b.Size())
+		// Reading as many bytes as there are in memory can't fail.
+		_, _ = b.ReadAt(body, 0)
 	}
-	held := make([]byte, b.Size())
-	// Reading as many bytes as there are in memory can't fail.
-	_, _ = b.ReadAt(held, 0)
-	return held
+	return chivegauge.Fingerprint(workspace, route, r.Method, r.Target, body)
 }
 
 // Rewind makes a whole body readable from its start.
--- a/internal/stream/forwarder/attempts.go
+++ b/internal/stream/forwarder/attempts.go
@@ -54,7 +54,7 @@
 	if err := r.Hold(f.HoldMax); err != nil {
 		return chivegauge.Refuse(chivegauge.CodeBadRequest, "the body did not arrive: "+err.Error())
 	}
-	if !f.Suspects.Empty() && f.Suspects.Refuses(time.Now(), chivegauge.Fingerprint(c.Workspace, c.Route, r.Method, r.Target, r.Held())) {
+	if !f.Suspects.Empty() && f.Suspects.Refuses(time.Now(), r.Fingerprint(c.Workspace, c.Route)) {
 		return chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request")
 	}
 	return nil
@@ -89,7 +89,7 @@
 	case refusal != nil && final[refusal.Code]:
 		return false
 	case refusal != nil && refusal.Run == chivegauge.NotRun && !refusal.Arrived:
-		return t.moves <= movesMax && (refusal.Code != chivegauge.CodeBusy || time.Since(r.Arrived) < moveTime)
+		return t.moves <= movesMax && (refusal.Code != chivegauge.CodeBusy || time.Since(r.Arrived) < f.MoveTime)
 	case t.arrivals >= limit:
 		return false
 	case refusal != nil && refusal.Run == chivegauge.NotRun:
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -20,10 +20,6 @@
 	// movesMax is the number of further nodes that are asked for a request that no backend server was sent.
 	movesMax = 3
 
-	// moveTime is how long after its arrival a request is moved on that found no room: about one wait in a queue, after
-	// which other nodes are as full.
-	moveTime = 150 * time.Millisecond
-
 	// lateSlack is how long after its deadline a request is given up, so that the backend server can answer by itself first.
 	lateSlack = 100 * time.Millisecond
 
@@ -107,6 +103,10 @@
 	Log     zerolog.Logger
 	HoldMax int64
 
+	// MoveTime is how long after its arrival a request is moved on that found no room: one wait in a queue, after which
+	// other nodes are as full.
+	MoveTime time.Duration
+
 	// ProofMax returns the age of the proof up to which keys are taken as valid.
 	ProofMax func() time.Duration
 }
--- a/internal/stream/forwarder/forwarder_test.go
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -145,6 +145,7 @@
 		Meter:    w,
 		Log:      zerolog.Nop(),
 		HoldMax:  1000,
+		MoveTime: 150 * time.Millisecond,
 		ProofMax: func() time.Duration { return 4 * time.Second },
 	})
 }
--- a/internal/stream/guardian/death.go
+++ b/internal/stream/guardian/death.go
@@ -22,13 +22,9 @@
 	last         time.Time
 }
 
-func fingerprint(c chivegauge.Call, r *carrier.Request) uint64 {
-	return chivegauge.Fingerprint(c.Workspace, c.Route, r.Method, r.Target, r.Held())
-}
-
 // brokeOff keeps a run whose connection ended, which the death of the backend server may explain.
 func (g *guardian) brokeOff(now time.Time, c chivegauge.Call, r *carrier.Request) {
-	f := fingerprint(c, r)
+	f := r.Fingerprint(c.Workspace, c.Route)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.broken.fingerprints) < brokenMax {
@@ -50,7 +46,7 @@
 func (g *guardian) answered(sent time.Time, a *carrier.Answer, c chivegauge.Call, r *carrier.Request) {
 	another := a.Status == http.StatusMisdirectedRequest
 	if !another && !g.Suspects.Empty() {
-		g.Suspects.Survived(fingerprint(c, r))
+		g.Suspects.Survived(r.Fingerprint(c.Workspace, c.Route))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/stream/guardian/failing.go
+++ b/internal/stream/guardian/failing.go
@@ -1,18 +1,14 @@
 package guardian
 
 import (
-	"math"
 	"time"
-)
-
-const (
-	// failingWeight is the weight of one run in the share of failed ones: it follows some sixteen runs.
-	failingWeight = 1.0 / 16
 
-	// failingHalf is the time in which the share halves without runs.
-	failingHalf = 2 * time.Second
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
 )
 
+// failingWeight is the weight of one run in the share of failed ones: it follows some sixteen runs.
+const failingWeight = 1.0 / 16
+
 // failing is the share of the latest runs that failed.
 type failing struct {
 	share float64
@@ -21,7 +17,7 @@
 
 // value returns the share as it counts at now.
 func (f failing) value(now time.Time) float64 {
-	return f.share * math.Exp2(-now.Sub(f.at).Seconds()/failingHalf.Seconds())
+	return picker.Fade(f.share, now.Sub(f.at))
 }
 
 // with returns the share after one more run.
--- a/internal/stream/guardian/guardian.go
+++ b/internal/stream/guardian/guardian.go
@@ -210,7 +210,7 @@
 	if _, refusal := g.usable(time.Now(), c.Service); refusal != nil {
 		return carrier.Refusal(refusal)
 	}
-	if !g.Suspects.Empty() && g.Suspects.Refuses(time.Now(), fingerprint(c, r)) {
+	if !g.Suspects.Empty() && g.Suspects.Refuses(time.Now(), r.Fingerprint(c.Workspace, c.Route)) {
 		return carrier.Refusal(chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request"))
 	}
 	pass, refusal := g.enter(ctx, c)
