--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
 )
 
 // The exit codes of the program; ExitUsage includes faulty settings files, and ExitRefused is a refused credential.
@@ -39,8 +40,12 @@
 	return e.err.Error()
 }
 
+// logTimeFormat is RFC 3339 with milliseconds: lines of several nodes can be put in order.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Run executes the command in args and returns its exit code.
 func Run(args []string, in io.Reader, out, errOut io.Writer) int {
+	zerolog.TimeFieldFormat = logTimeFormat
 	env := &environment{
 		in:  in,
 		out: out,
--- a/internal/request/crashtracker/crashtracker.go
+++ b/internal/request/crashtracker/crashtracker.go
@@ -179,6 +179,7 @@
 	}
 	delete(t.records, fingerprint)
 	if r.crashes >= broadcastFrom {
+		t.log.Info().Uint64("Fingerprint", fingerprint).Int("Deaths", r.crashes).Msg("request completed; crashes no longer count against it")
 		t.pending.Completed = append(t.pending.Completed, fingerprint)
 		t.wakeServe()
 	}
--- a/internal/stream/executor/crash.go
+++ b/internal/stream/executor/crash.go
@@ -18,6 +18,15 @@
 	interruptedRetention = 2 * time.Second
 )
 
+// evidence is what showed that the backend server crashed.
+type evidence string
+
+const (
+	portClosed    evidence = "port closed"
+	otherProcess  evidence = "report of another process"
+	otherInstance evidence = "response of another backend server"
+)
+
 // interrupted holds the requests that were interrupted since the backend server last responded.
 type interrupted struct {
 	fingerprints []uint64
@@ -38,10 +47,17 @@
 
 // recordCrash counts a crash of the backend server against the interrupted requests, if the last one was interrupted
 // within interruptedRetention; e.mu is held.
-func (e *executor) recordCrash(now time.Time) {
-	if len(e.interrupted.fingerprints) > 0 && now.Sub(e.interrupted.last) < interruptedRetention {
+func (e *executor) recordCrash(now time.Time, by evidence) {
+	if len(e.interrupted.fingerprints) == 0 {
+		return
+	}
+	age := now.Sub(e.interrupted.last)
+	counted := age < interruptedRetention
+	if counted {
 		e.CrashTracker.RecordCrash(now, e.interrupted.fingerprints)
 	}
+	e.Log.Warn().Str("Instance", e.report.Instance).Int64("Born", e.report.StartedAtMs).Str("Evidence", string(by)).
+		Int("Requests", len(e.interrupted.fingerprints)).Dur("AgeMs", age).Bool("Counted", counted).Msg("backend server crashed")
 	e.interrupted = interrupted{}
 }
 
@@ -56,7 +72,7 @@
 	defer e.mu.Unlock()
 	switch {
 	case replaced:
-		e.recordCrash(time.Now())
+		e.recordCrash(time.Now(), otherInstance)
 	case sent.After(e.interrupted.last):
 		e.interrupted = interrupted{}
 	}
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -96,7 +96,7 @@
 		e.Backend.CloseIdle()
 		e.unreachableUntil = time.Time{}
 		e.failures = failureRate{}
-		e.recordCrash(now)
+		e.recordCrash(now, otherProcess)
 	}
 	if e.reported && r.SameProcess(e.report) && e.report.Leaving {
 		r = r.WithLeaving()
@@ -279,7 +279,7 @@
 			now := time.Now()
 			e.unreachableUntil = now.Add(connectBackoff)
 			if errors.Is(err, syscall.ECONNREFUSED) {
-				e.recordCrash(now)
+				e.recordCrash(now, portClosed)
 			}
 			e.mu.Unlock()
 		}
