Add up crashes that several nodes recognise at the same time

Callers saw a request that had crashed three backend servers sent on. A node replaced its count of crashes by the higher one of another node, so two crashes recognised before either report arrived became one: a state-based counter merged by its maximum. Counters are now kept for each node process, merged one by one and added up; a completed request clears the crashes counted so far instead of deleting the record, which a late report then brought back.

TestConcurrentCrashesAreAdded failed 3 of 3 times before (5 s each, never refused) and passes with the race detector.

--- a/internal/request/crashtracker/crashtracker.go
+++ b/internal/request/crashtracker/crashtracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -37,11 +38,8 @@
 	// From is the address to which the receiver sends its counts where they are higher, or empty.
 	From string `json:",omitempty"`
 
-	// Crashes is the number of crashes that count against each request, by fingerprint.
-	Crashes map[uint64]int `json:"Deaths,omitempty"`
-
-	// Completed lists the fingerprints of requests that completed.
-	Completed []uint64 `json:"Survived,omitempty"`
+	// Requests holds the counters of requests, by fingerprint.
+	Requests map[uint64]Counters
 }
 
 // Members is the list of the nodes that are alive.
@@ -64,20 +62,22 @@
 	// RecordCrash counts a crash of a backend server against the requests that it ran.
 	RecordCrash(now time.Time, fingerprints []uint64)
 	// Clear clears a request that completed.
-	Clear(fingerprint uint64)
+	Clear(now time.Time, fingerprint uint64)
 	// Merge merges a report from another node.
 	Merge(now time.Time, r CrashReport)
 	// Serve broadcasts reports to the other nodes until the context ends, and returns its error.
 	Serve(ctx context.Context) error
 }
 
-// record is the number of crashes that count against a request.
+// record holds the counters of a request; lastCrash is when this node learned of the last crash.
 type record struct {
-	crashes   int
+	counters  Counters
 	lastCrash time.Time
 }
 
 type crashTracker struct {
+	// process identifies this process of the node in the counters.
+	process  uint64
 	members  Members
 	notifier Notifier
 	log      zerolog.Logger
@@ -86,17 +86,21 @@
 
 	mu      sync.Mutex
 	records map[uint64]record
-	pending CrashReport
+
+	// pending holds the fingerprints of the requests in the next report.
+	pending map[uint64]bool
 }
 
 // New returns a crash tracker without counted crashes.
 func New(m Members, n Notifier, log zerolog.Logger) CrashTracker {
 	return &crashTracker{
+		process:  rand.Uint64(),
 		members:  m,
 		notifier: n,
 		log:      log,
 		wake:     make(chan struct{}, 1),
 		records:  map[uint64]record{},
+		pending:  map[uint64]bool{},
 	}
 }
 
@@ -116,7 +120,7 @@
 		delete(t.records, fingerprint)
 		return false
 	}
-	return r.crashes >= crashesMax
+	return r.counters.Sum() >= crashesMax
 }
 
 // RecordCrash counts a crash against each of the requests that has no crash within sharedCrashWindow.
@@ -128,26 +132,32 @@
 		if ok && now.Sub(r.lastCrash) < sharedCrashWindow {
 			continue
 		}
-		t.setCrashes(now, f, r.crashes+1)
-		if t.pending.Crashes == nil {
-			t.pending.Crashes = map[uint64]int{}
-		}
-		t.pending.Crashes[f] = r.crashes + 1
+		t.setCounters(now, f, r.counters.WithCrash(t.process))
+		t.pending[f] = true
 	}
 	t.wakeServe()
 }
 
-// setCrashes sets the number of crashes that count against a request; t.mu is held.
-func (t *crashTracker) setCrashes(now time.Time, f uint64, crashes int) {
-	if len(t.records) >= recordsMax {
+// setCounters replaces the counters of a request, and logs when it begins or ceases to be refused; t.mu is held.
+func (t *crashTracker) setCounters(now time.Time, f uint64, c Counters) {
+	old, ok := t.records[f]
+	if !ok && len(t.records) >= recordsMax {
 		t.evict(now)
 	}
-	t.records[f] = record{
-		crashes:   crashes,
-		lastCrash: now,
+	before, after := old.counters.Sum(), c.Sum()
+	r := record{
+		counters:  c,
+		lastCrash: old.lastCrash,
 	}
-	if crashes == crashesMax {
-		t.log.Warn().Uint64("Fingerprint", f).Int("Deaths", crashes).Msg("request refused from now on; backend servers died while they ran it")
+	if after > before || !ok {
+		r.lastCrash = now
+	}
+	t.records[f] = r
+	switch {
+	case before < crashesMax && after >= crashesMax:
+		t.log.Warn().Uint64("Fingerprint", f).Int("Deaths", after).Msg("request refused from now on; backend servers died while they ran it")
+	case before >= broadcastFrom && after == 0:
+		t.log.Info().Uint64("Fingerprint", f).Int("Deaths", before).Msg("request completed; crashes no longer count against it")
 	}
 }
 
@@ -163,59 +173,58 @@
 		if len(t.records) < recordsMax {
 			return
 		}
-		if r.crashes < crashesMax {
+		if r.counters.Sum() < crashesMax {
 			delete(t.records, f)
 		}
 	}
 }
 
 // Clear clears a request, and broadcasts that it completed if other nodes refuse it or would at the next crash.
-func (t *crashTracker) Clear(fingerprint uint64) {
+func (t *crashTracker) Clear(now time.Time, fingerprint uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.records[fingerprint]
-	if !ok {
+	crashes := r.counters.Sum()
+	if !ok || crashes == 0 {
 		return
 	}
-	delete(t.records, fingerprint)
-	if r.crashes >= broadcastFrom {
-		t.log.Info().Uint64("Fingerprint", fingerprint).Int("Deaths", r.crashes).Msg("request completed; crashes no longer count against it")
-		t.pending.Completed = append(t.pending.Completed, fingerprint)
+	t.setCounters(now, fingerprint, r.counters.WithCleared())
+	if crashes >= broadcastFrom {
+		t.pending[fingerprint] = true
 		t.wakeServe()
 	}
 }
 
-// Merge merges a report from another node, and sends back higher counts that the sender lacks, such as after its
+// Merge merges a report from another node, and sends back the counters that the sender lacks, such as after its
 // restart.
 func (t *crashTracker) Merge(now time.Time, r CrashReport) {
-	if higher := t.merge(now, r); len(higher) > 0 && r.From != "" {
+	if missing := t.merge(now, r); len(missing) > 0 && r.From != "" {
 		t.group.Go(func() {
 			t.send(context.Background(), chivegauge.Member{
 				Address: r.From,
 			}, CrashReport{
-				Crashes: higher,
+				Requests: missing,
 			})
 		})
 	}
 }
 
-// merge applies the report, and returns the counts that are higher on this node.
-func (t *crashTracker) merge(now time.Time, r CrashReport) map[uint64]int {
+// merge applies the report, and returns the counters that differ from it afterwards.
+func (t *crashTracker) merge(now time.Time, r CrashReport) map[uint64]Counters {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	higher := map[uint64]int{}
-	for f, crashes := range r.Crashes {
-		counted := t.records[f].crashes
-		if crashes > counted {
-			t.setCrashes(now, f, crashes)
-		} else if crashes < counted {
-			higher[f] = counted
+	missing := map[uint64]Counters{}
+	for f, reported := range r.Requests {
+		known := t.records[f].counters
+		merged := known.WithMerged(reported)
+		if !merged.Equal(known) {
+			t.setCounters(now, f, merged)
+		}
+		if !merged.Equal(reported) {
+			missing[f] = merged
 		}
 	}
-	for _, f := range r.Completed {
-		delete(t.records, f)
-	}
-	return higher
+	return missing
 }
 
 // wakeServe makes Serve send the pending report; t.mu is held.
@@ -240,12 +249,22 @@
 			return ctx.Err()
 		case <-time.After(batchDelay):
 		}
-		t.mu.Lock()
-		r := t.pending
-		t.pending = CrashReport{}
-		t.mu.Unlock()
-		t.broadcast(ctx, r)
+		t.broadcast(ctx, t.takePending())
+	}
+}
+
+// takePending returns the report of the pending requests.
+func (t *crashTracker) takePending() CrashReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := CrashReport{
+		Requests: make(map[uint64]Counters, len(t.pending)),
+	}
+	for f := range t.pending {
+		r.Requests[f] = t.records[f].counters
 	}
+	t.pending = map[uint64]bool{}
+	return r
 }
 
 // broadcast sends the report to each other node; a node that misses it receives the count with the next crash.
--- a/internal/request/crashtracker/crashtracker_test.go
+++ b/internal/request/crashtracker/crashtracker_test.go
@@ -107,7 +107,7 @@
 			last := start
 			for n, after := range tt.crashes {
 				if tt.completed > 0 && n == tt.completed {
-					s.Clear(poison)
+					s.Clear(last, poison)
 				}
 				last = start.Add(after)
 				s.RecordCrash(last, []uint64{poison, uint64(100 + n)})
@@ -144,7 +144,7 @@
 	}
 	eventually(t, "refused everywhere", refused(poison, true))
 	is.True(refused(popular, true)())
-	c.nodes["b"].Clear(popular) // a run that began before the request was refused
+	c.nodes["b"].Clear(at, popular) // a run that began before the request was refused
 	eventually(t, "cleared everywhere", refused(popular, false))
 	is.True(refused(poison, true)())
 }
@@ -157,8 +157,12 @@
 	const poison = uint64(7)
 	for _, address := range []string{"a", "b"} {
 		c.nodes[address].Merge(start, crashtracker.CrashReport{
-			Crashes: map[uint64]int{
-				poison: 4,
+			Requests: map[uint64]crashtracker.Counters{
+				poison: {
+					Crashes: map[uint64]int{
+						1: 4,
+					},
+				},
 			},
 		})
 	}
@@ -166,3 +170,46 @@
 	eventually(t, "refused at the node with the lower count", func() bool { return c.nodes["c"].Quarantined(start, poison) })
 	is.True(c.nodes["a"].Quarantined(start, poison))
 }
+
+// TestConcurrentCrashesAreAdded checks that crashes that several nodes recognise before they have heard of each other's
+// are all counted.
+func TestConcurrentCrashesAreAdded(t *testing.T) {
+	c := newCluster(t)
+	const poison = uint64(7)
+	for _, n := range c.nodes {
+		n.RecordCrash(start, []uint64{poison})
+	}
+	for address, n := range c.nodes {
+		eventually(t, "refused at "+address, func() bool { return n.Quarantined(start, poison) })
+	}
+}
+
+// TestReportsOvertakeEachOther checks that a crash counts once however often it is reported, and that a late report of
+// a crash doesn't count again after the request completed.
+func TestReportsOvertakeEachOther(t *testing.T) {
+	is := is.New(t)
+	const poison = uint64(7)
+	crashes := func(n int) crashtracker.CrashReport {
+		return crashtracker.CrashReport{
+			Requests: map[uint64]crashtracker.Counters{
+				poison: {
+					Crashes: map[uint64]int{
+						1: n,
+					},
+				},
+			},
+		}
+	}
+	s := newCluster(t).nodes["a"]
+	for _, n := range []int{2, 1, 2, 2} {
+		s.Merge(start, crashes(n))
+		is.True(!s.Quarantined(start, poison))
+	}
+	s.Merge(start, crashes(3))
+	is.True(s.Quarantined(start, poison))
+	s.Clear(start, poison)
+	s.Merge(start, crashes(3))
+	is.True(!s.Quarantined(start, poison))
+	s.Merge(start, crashes(6))
+	is.True(s.Quarantined(start, poison))
+}
--- a/internal/stream/executor/crash.go
+++ b/internal/stream/executor/crash.go
@@ -66,7 +66,7 @@
 func (e *executor) recordResponse(sent time.Time, response *streamer.Response, c chivegauge.Call, r *streamer.Request) {
 	replaced := response.Status == http.StatusMisdirectedRequest
 	if !replaced && !e.CrashTracker.Empty() {
-		e.CrashTracker.Clear(r.Fingerprint(c.Workspace, c.Route))
+		e.CrashTracker.Clear(time.Now(), r.Fingerprint(c.Workspace, c.Route))
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -44,7 +44,7 @@
 	Empty() bool
 	Quarantined(now time.Time, fingerprint uint64) bool
 	RecordCrash(now time.Time, fingerprints []uint64)
-	Clear(fingerprint uint64)
+	Clear(now time.Time, fingerprint uint64)
 }
 
 type executor struct {
--- a/internal/stream/executor/executor_test.go
+++ b/internal/stream/executor/executor_test.go
@@ -33,7 +33,7 @@
 func (b *backend) Empty() bool                         { return false }
 func (b *backend) Quarantined(time.Time, uint64) bool  { return b.refuses }
 func (b *backend) RecordCrash(_ time.Time, f []uint64) { b.crashed = append(b.crashed, f...) }
-func (b *backend) Clear(f uint64)                      { b.survived = append(b.survived, f) }
+func (b *backend) Clear(_ time.Time, f uint64)         { b.survived = append(b.survived, f) }
 
 func (b *backend) Exchange(ctx context.Context, r *streamer.Request) (*streamer.Response, error) {
 	b.sent = append(b.sent, r)
