Count each crash against a request, and try a refused request again

Callers saw a request that had crashed three backend servers sent on: crashes against it within a second of a counted one were not counted. The window was to protect harmless requests when several backend servers crash together, but a request that comes in bursts, or is sent to two backend servers by its own retries, looks the same.

Each crash counts now. Harmless requests are protected by what tells them apart: they complete elsewhere, which clears them, and a refused request is sent once, without retries, 10 s after its last crash (20, 40 ... after further ones), by one node.

The case "three crashes at once" of TestRefuses demanded the fault; it now demands the refusal, and "at once, then completed" and TestTrials demand that a harmless request is served again.

--- a/call.go
+++ b/call.go
@@ -41,6 +41,10 @@
 	// Suspect says that a backend server crashed while it ran an earlier attempt of the call.
 	Suspect bool
 
+	// Trial says that the call is sent once although equal calls are refused, because backend servers crashed while they
+	// ran them.
+	Trial bool
+
 	// Caller is the service of the instance that made the call.
 	Caller string
 
@@ -86,6 +90,12 @@
 	return c
 }
 
+// WithTrial returns the call marked as on trial.
+func (c Call) WithTrial() Call {
+	c.Trial = true
+	return c
+}
+
 // Budget returns the time left until the deadline, at least zero.
 func (c Call) Budget(now time.Time) time.Duration {
 	return max(0, c.Deadline.Sub(now))
--- a/internal/request/crashtracker/crashtracker.go
+++ b/internal/request/crashtracker/crashtracker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -11,16 +12,17 @@
 )
 
 const (
-	// crashesMax is the number of crashes at which a request is refused. A harmless request rarely runs during three
-	// crashes, and is cleared when a request with the same fingerprint completes.
+	// crashesMax is the number of crashes at which a request is refused. A harmless request that many callers send may run
+	// during three crashes; it is cleared when one with the same fingerprint completes, or in a trial.
 	crashesMax = 3
 
 	// broadcastFrom is the number of crashes from which the completion of a request is broadcast to the other nodes.
 	broadcastFrom = crashesMax - 1
 
-	// sharedCrashWindow is the time after a counted crash in which further crashes aren't counted against the same
-	// request: backend servers that crash together for another reason count as one crash for all requests that they ran.
-	sharedCrashWindow = time.Second
+	// trialDelay is the time from the last crash to the trial of a refused request; it doubles with each further crash,
+	// trialDoublingsMax times.
+	trialDelay        = 10 * time.Second
+	trialDoublingsMax = 4
 
 	// retention is how long crashes count against a request.
 	retention = 5 * time.Minute
@@ -55,8 +57,10 @@
 
 // CrashTracker counts the crashes of backend servers against requests.
 type CrashTracker interface {
-	// Quarantined reports whether requests with the fingerprint must not run.
+	// Quarantined reports whether requests with the fingerprint must not run, except on trial.
 	Quarantined(now time.Time, fingerprint uint64) bool
+	// Admit returns how a request that begins at this node is handled; one node at a time returns Trial for a fingerprint.
+	Admit(now time.Time, fingerprint uint64) Verdict
 	// Empty reports whether no crashes are counted, so that callers needn't compute fingerprints.
 	Empty() bool
 	// RecordCrash counts a crash of a backend server against the requests that it ran.
@@ -69,10 +73,32 @@
 	Serve(ctx context.Context) error
 }
 
-// record holds the counters of a request; lastCrash is when this node learned of the last crash.
+// Verdict is how a request is handled.
+type Verdict int
+
+// The verdicts.
+const (
+	// Unsuspected requests run like any other.
+	Unsuspected Verdict = iota
+	// Trial is the verdict for a refused request that is sent to one backend server, to find out whether it is harmless:
+	// backend servers may have crashed together for another cause.
+	Trial
+	// Quarantined requests are refused.
+	Quarantined
+)
+
+// record holds the counters of a request; lastCrash is when this node learned of the last crash, and lastTrial when it
+// last admitted the request on trial.
 type record struct {
 	counters  Counters
 	lastCrash time.Time
+	lastTrial time.Time
+}
+
+// trialDue reports whether a refused request may be tried at now.
+func (r record) trialDue(now time.Time) bool {
+	delay := trialDelay << min(trialDoublingsMax, r.counters.Sum()-crashesMax)
+	return now.Sub(r.lastCrash) >= delay && now.Sub(r.lastTrial) >= delay
 }
 
 type crashTracker struct {
@@ -123,16 +149,41 @@
 	return r.counters.Sum() >= crashesMax
 }
 
-// RecordCrash counts a crash against each of the requests that has no crash within sharedCrashWindow.
+// Admit returns Trial if the trial of a refused request is due and this node is the one that admits it.
+func (t *crashTracker) Admit(now time.Time, fingerprint uint64) Verdict {
+	if !t.Quarantined(now, fingerprint) {
+		return Unsuspected
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[fingerprint]
+	if !r.trialDue(now) || !t.admitsTrial(fingerprint) {
+		return Quarantined
+	}
+	r.lastTrial = now
+	t.records[fingerprint] = r
+	t.log.Info().Uint64("Fingerprint", fingerprint).Int("Deaths", r.counters.Sum()).Msg("refused request sent once, on trial")
+	return Trial
+}
+
+// admitsTrial reports whether this node is the one that admits trials of the request.
+func (t *crashTracker) admitsTrial(fingerprint uint64) bool {
+	self := t.members.Self()
+	none := func(chivegauge.Member) bool { return false }
+	return chivegauge.Heaviest(self, t.members.Alive(), strconv.FormatUint(fingerprint, 10), none).Address == self.Address
+}
+
+// RecordCrash counts a crash against each of the requests, once for each fingerprint.
 func (t *crashTracker) RecordCrash(now time.Time, fingerprints []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	counted := make(map[uint64]bool, len(fingerprints))
 	for _, f := range fingerprints {
-		r, ok := t.records[f]
-		if ok && now.Sub(r.lastCrash) < sharedCrashWindow {
+		if counted[f] {
 			continue
 		}
-		t.setCounters(now, f, r.counters.WithCrash(t.process))
+		counted[f] = true
+		t.setCounters(now, f, t.records[f].counters.WithCrash(t.process))
 		t.pending[f] = true
 	}
 	t.wakeServe()
@@ -145,10 +196,8 @@
 		t.evict(now)
 	}
 	before, after := old.counters.Sum(), c.Sum()
-	r := record{
-		counters:  c,
-		lastCrash: old.lastCrash,
-	}
+	r := old
+	r.counters = c
 	if after > before || !ok {
 		r.lastCrash = now
 	}
--- a/internal/request/crashtracker/crashtracker_test.go
+++ b/internal/request/crashtracker/crashtracker_test.go
@@ -95,7 +95,8 @@
 	}{
 		"two crashes":               {crashes: []time.Duration{0, 2 * time.Second}},
 		"three crashes":             {crashes: []time.Duration{0, 2 * time.Second, 4 * time.Second}, refused: true},
-		"three crashes at once":     {crashes: []time.Duration{0, time.Millisecond, 2 * time.Millisecond}},
+		"three crashes at once":     {crashes: []time.Duration{0, time.Millisecond, 2 * time.Millisecond}, refused: true},
+		"at once, then completed":   {crashes: []time.Duration{0, time.Millisecond, 2 * time.Millisecond}, completed: 3},
 		"completed in between":      {crashes: []time.Duration{0, 2 * time.Second, 4 * time.Second}, completed: 2},
 		"three crashes, long after": {crashes: []time.Duration{0, 2 * time.Second, 4 * time.Second}, at: time.Hour},
 	}
@@ -110,7 +111,10 @@
 					s.Clear(last, poison)
 				}
 				last = start.Add(after)
-				s.RecordCrash(last, []uint64{poison, uint64(100 + n)})
+				s.RecordCrash(last, []uint64{poison, uint64(100 + n), poison})
+			}
+			if tt.completed == len(tt.crashes) {
+				s.Clear(last, poison)
 			}
 			is.Equal(s.Quarantined(last.Add(tt.at), poison), tt.refused)
 			is.True(!s.Quarantined(last, 100)) // ran during one crash only
@@ -213,3 +217,49 @@
 	s.Merge(start, crashes(6))
 	is.True(s.Quarantined(start, poison))
 }
+
+// TestTrials checks that one node admits a refused request on trial, once after each delay, and that the delay doubles
+// with each further crash.
+func TestTrials(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	const poison = uint64(7)
+	crash := func(at time.Time, crashes int) {
+		for _, n := range c.nodes {
+			n.Merge(at, crashtracker.CrashReport{
+				Requests: map[uint64]crashtracker.Counters{
+					poison: {
+						Crashes: map[uint64]int{
+							1: crashes,
+						},
+					},
+				},
+			})
+		}
+	}
+	trials := func(at time.Time) int {
+		count := 0
+		for range 3 {
+			for _, n := range c.nodes {
+				switch n.Admit(at, poison) {
+				case crashtracker.Trial:
+					count++
+				case crashtracker.Quarantined:
+				case crashtracker.Unsuspected:
+					t.Errorf("not refused at %v", at)
+				}
+			}
+		}
+		return count
+	}
+	crash(start, 3)
+	is.Equal(trials(start.Add(9*time.Second)), 0)
+	is.Equal(trials(start.Add(11*time.Second)), 1)
+	crash(start.Add(11*time.Second), 4)
+	is.Equal(trials(start.Add(30*time.Second)), 0)
+	is.Equal(trials(start.Add(32*time.Second)), 1)
+	for _, n := range c.nodes {
+		n.Clear(start.Add(32*time.Second), poison)
+		is.Equal(n.Admit(start.Add(32*time.Second), poison), crashtracker.Unsuspected)
+	}
+}
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -215,7 +215,7 @@
 	if _, refusal := e.checkBackend(time.Now(), c.Service); refusal != nil {
 		return streamer.RefusalResponse(refusal)
 	}
-	if !e.CrashTracker.Empty() && e.CrashTracker.Quarantined(time.Now(), r.Fingerprint(c.Workspace, c.Route)) {
+	if !c.Trial && !e.CrashTracker.Empty() && e.CrashTracker.Quarantined(time.Now(), r.Fingerprint(c.Workspace, c.Route)) {
 		return streamer.RefusalResponse(chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request"))
 	}
 	held, refusal := e.acquire(ctx, c)
--- a/internal/stream/executor/executor_test.go
+++ b/internal/stream/executor/executor_test.go
@@ -246,9 +246,11 @@
 	is.Equal(response.Refusal.Code, chivegauge.CodeQuarantined)
 	is.Equal(response.Refusal.Run, chivegauge.NotRun)
 	is.Equal(len(b.sent), 0)
+	is.Equal(e.Run(context.Background(), call().WithTrial(), request()).Refusal, nil)
+	is.Equal(len(b.survived), 1)
 	b.refuses = false
 	is.Equal(e.Run(context.Background(), call(), request()).Refusal, nil)
-	is.Equal(len(b.survived), 1)
+	is.Equal(len(b.survived), 2)
 }
 
 // TestDepartures checks which process gets no more requests after a departure, depending on the reports before and
--- a/internal/stream/forwarder/attempts.go
+++ b/internal/stream/forwarder/attempts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/request/crashtracker"
 	"github.com/chivegauge/chivegauge/internal/stream/streamer"
 )
 
@@ -24,6 +25,15 @@
 	if refusal := f.prepare(ctx, c, r); refusal != nil {
 		return streamer.RefusalResponse(refusal), nil
 	}
+	if !f.CrashTracker.Empty() {
+		switch f.CrashTracker.Admit(time.Now(), r.Fingerprint(c.Workspace, c.Route)) {
+		case crashtracker.Quarantined:
+			return streamer.RefusalResponse(chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request")), nil
+		case crashtracker.Trial:
+			c = c.WithTrial()
+		case crashtracker.Unsuspected:
+		}
+	}
 	t := &attempts{}
 	for {
 		m, ok := f.pick(c.Service, t.tried)
@@ -42,8 +52,7 @@
 	return t.result(c), t.tried
 }
 
-// prepare reads a small body into memory and refuses a request if backend servers have crashed while running it. A
-// request that isn't idempotent waits until the responses to all earlier requests on its connection have been written
+// prepare reads a small body into memory. A request that isn't idempotent waits until the responses to all earlier requests on its connection have been written
 // or discarded.
 func (f *forwarder) prepare(ctx context.Context, c chivegauge.Call, r *streamer.Request) *chivegauge.Refusal {
 	if !c.Idempotent && r.EarlierDone != nil {
@@ -56,9 +65,6 @@
 	if err := r.Buffer(f.BodyBufferMax); err != nil {
 		return chivegauge.Refuse(chivegauge.CodeBadRequest, "the body did not arrive: "+err.Error())
 	}
-	if !f.CrashTracker.Empty() && f.CrashTracker.Quarantined(time.Now(), r.Fingerprint(c.Workspace, c.Route)) {
-		return chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request")
-	}
 	return nil
 }
 
@@ -98,7 +104,7 @@
 	case refusal != nil && refusal.Run == chivegauge.NotRun:
 		return f.chargeRetry(c.Service, t.mayHaveRun)
 	default:
-		return c.Idempotent && f.chargeRetry(c.Service, true)
+		return c.Idempotent && !c.Trial && f.chargeRetry(c.Service, true)
 	}
 }
 
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/chivegauge/chivegauge/internal/policy/budgeter"
 	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/chivegauge/chivegauge/internal/policy/splitter"
+	"github.com/chivegauge/chivegauge/internal/request/crashtracker"
 	"github.com/chivegauge/chivegauge/internal/request/router"
 	"github.com/chivegauge/chivegauge/internal/stream/streamer"
 	"github.com/rs/zerolog"
@@ -67,10 +68,10 @@
 	CountAttempt(refusal *chivegauge.Refusal)
 }
 
-// CrashTracker reports by fingerprint which requests must not run because backend servers crashed while running them.
+// CrashTracker decides by fingerprint which requests must not run because backend servers crashed while running them.
 type CrashTracker interface {
 	Empty() bool
-	Quarantined(now time.Time, fingerprint uint64) bool
+	Admit(now time.Time, fingerprint uint64) crashtracker.Verdict
 }
 
 // Correlator correlates nested calls with the requests whose handling made them.
--- a/internal/stream/forwarder/forwarder_test.go
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -11,6 +11,7 @@
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/policy/budgeter"
 	"github.com/chivegauge/chivegauge/internal/policy/picker"
+	"github.com/chivegauge/chivegauge/internal/request/crashtracker"
 	"github.com/chivegauge/chivegauge/internal/request/router"
 	"github.com/chivegauge/chivegauge/internal/stream/forwarder"
 	"github.com/chivegauge/chivegauge/internal/stream/streamer"
@@ -22,7 +23,7 @@
 // again and again, and it records the calls sent and the outcomes reported to the downstream limit.
 type fakeParts struct {
 	parent       chivegauge.Importance
-	suspect      bool
+	verdict      crashtracker.Verdict
 	refusedCalls []bool
 	now          time.Time
 	router       router.Router
@@ -76,9 +77,9 @@
 	return p.parent, p.parent != 0
 }
 
-func (p *fakeParts) Empty() bool { return !p.suspect }
+func (p *fakeParts) Empty() bool { return p.verdict == crashtracker.Unsuspected }
 
-func (p *fakeParts) Quarantined(time.Time, uint64) bool { return p.suspect }
+func (p *fakeParts) Admit(time.Time, uint64) crashtracker.Verdict { return p.verdict }
 
 func (p *fakeParts) CalledByBackend(string) bool { return p.parent != 0 }
 
@@ -219,6 +220,16 @@
 	}
 }
 
+// TestTrialIsSentOnce checks that a request on trial is marked as such and is not sent again.
+func TestTrialIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	p := newFakeParts(refuse(chivegauge.RefuseMayHaveRun(chivegauge.CodeOutcomeUnknown, "connection closed")))
+	p.verdict = crashtracker.Trial
+	p.forwarder(1).Handle(context.Background(), request("/read/1", "k1"))
+	is.Equal(len(p.calls), 1)
+	is.True(p.calls[0].Trial)
+}
+
 // TestRetryBudgetUsesMonotonicClock checks that retries are counted by Config.Now, which does not jump when the time of
 // day is set.
 func TestRetryBudgetUsesMonotonicClock(t *testing.T) {
@@ -255,7 +266,7 @@
 		"stale keys, unknown key": {target: "/write/1", key: "k2", setup: func(p *fakeParts) { p.age = 5 * time.Second }, status: 503},
 		"stale keys, open":        {target: "/open/1", setup: func(p *fakeParts) { p.age = 5 * time.Second }, status: 200, sends: 1},
 		"above rate":              {target: "/write/1", key: "k1", setup: func(p *fakeParts) { p.aboveRate = true }, status: 429},
-		"suspect":                 {target: "/write/1", key: "k1", setup: func(p *fakeParts) { p.suspect = true }, status: 503},
+		"suspect":                 {target: "/write/1", key: "k1", setup: func(p *fakeParts) { p.verdict = crashtracker.Quarantined }, status: 503},
 		"no member":               {target: "/write/1", key: "k1", setup: func(p *fakeParts) { p.members = 0 }, status: 503},
 	}
 	for name, tt := range tests {
--- a/internal/stream/transporter/wire.go
+++ b/internal/stream/transporter/wire.go
@@ -18,6 +18,7 @@
 	headerIdempotent = chivegauge.HeaderPrefix + "Idempotent"
 	headerCaller     = chivegauge.HeaderPrefix + "Caller"
 	headerMessage    = chivegauge.HeaderPrefix + "Message"
+	headerTrial      = chivegauge.HeaderPrefix + "Trial"
 	headerArrived    = chivegauge.HeaderPrefix + "Arrived"
 )
 
@@ -35,6 +36,7 @@
 	h.Set(chivegauge.HeaderBudgetMs, strconv.FormatInt(c.Budget(now).Milliseconds(), 10))
 	h.Set(headerIdempotent, strconv.FormatBool(c.Idempotent))
 	h.Set(headerCaller, c.Caller)
+	h.Set(headerTrial, strconv.FormatBool(c.Trial))
 	return h
 }
 
@@ -47,6 +49,7 @@
 		Workspace:  h.Get(chivegauge.HeaderWorkspace),
 		Idempotent: h.Get(headerIdempotent) == "true",
 		Caller:     h.Get(headerCaller),
+		Trial:      h.Get(headerTrial) == "true",
 	}
 	if err := c.Importance.UnmarshalText([]byte(h.Get(chivegauge.HeaderImportance))); err != nil {
 		return c, err
