Notice the crash of a backend server that gets no further request

Callers saw a request that had crashed three backend servers sent on. A crash counted only if, within 2 s, another request found the port closed or a new process reported. Backend servers come back after some seconds and other nodes avoid one that fails, so neither has to happen.

--- a/internal/request/crashtracker/crashtracker.go
+++ b/internal/request/crashtracker/crashtracker.go
@@ -63,7 +63,7 @@
 	Admit(now time.Time, fingerprint uint64) Verdict
 	// Empty reports whether no crashes are counted, so that callers needn't compute fingerprints.
 	Empty() bool
-	// RecordCrash counts a crash of a backend server against the requests that it ran.
+	// RecordCrash counts a crash of a backend server against the requests that it ran, which are distinct.
 	RecordCrash(now time.Time, fingerprints []uint64)
 	// Clear clears a request that completed.
 	Clear(now time.Time, fingerprint uint64)
@@ -173,16 +173,11 @@
 	return chivegauge.Heaviest(self, t.members.Alive(), strconv.FormatUint(fingerprint, 10), none).Address == self.Address
 }
 
-// RecordCrash counts a crash against each of the requests, once for each fingerprint.
+// RecordCrash counts a crash against each of the requests.
 func (t *crashTracker) RecordCrash(now time.Time, fingerprints []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counted := make(map[uint64]bool, len(fingerprints))
 	for _, f := range fingerprints {
-		if counted[f] {
-			continue
-		}
-		counted[f] = true
 		t.setCounters(now, f, t.records[f].counters.WithCrash(t.process))
 		t.pending[f] = true
 	}
--- a/internal/stream/connector/connector.go
+++ b/internal/stream/connector/connector.go
@@ -59,6 +59,8 @@
 type Connector interface {
 	// Exchange sends the request once and returns the response, or an *Error.
 	Exchange(ctx context.Context, r *streamer.Request) (*streamer.Response, error)
+	// Connect establishes a connection and keeps it idle.
+	Connect(ctx context.Context) error
 	// CloseIdle closes the idle connections.
 	CloseIdle()
 	// Dials returns the number of connections established so far.
@@ -107,6 +109,16 @@
 	}
 }
 
+// Connect establishes a connection and keeps it idle.
+func (c *connector) Connect(ctx context.Context) error {
+	k, err := c.dial(ctx)
+	if err != nil {
+		return err
+	}
+	c.putIdle(k)
+	return nil
+}
+
 // Exchange sends the request over the most recently used idle connection, or over a new one.
 func (c *connector) Exchange(ctx context.Context, r *streamer.Request) (*streamer.Response, error) {
 	k, err := c.acquire(ctx)
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -49,6 +48,7 @@
 
 type executor struct {
 	Config
+	group sync.WaitGroup
 
 	mu               sync.Mutex
 	report           Report
@@ -57,6 +57,7 @@
 	unreachableUntil time.Time
 	failures         failureRate
 	interrupted      interrupted
+	probing          bool
 }
 
 // Config holds the dependencies of an executor.
@@ -97,6 +98,7 @@
 		e.unreachableUntil = time.Time{}
 		e.failures = failureRate{}
 		e.recordCrash(now, otherProcess)
+		e.interrupted = interrupted{}
 	}
 	if e.reported && r.SameProcess(e.report) && e.report.Leaving {
 		r = r.WithLeaving()
@@ -275,13 +277,7 @@
 	failed := &connector.Error{}
 	if errors.As(err, &failed) && !failed.Sent {
 		if ctx.Err() == nil {
-			e.mu.Lock()
-			now := time.Now()
-			e.unreachableUntil = now.Add(connectBackoff)
-			if errors.Is(err, syscall.ECONNREFUSED) {
-				e.recordCrash(now, portClosed)
-			}
-			e.mu.Unlock()
+			e.recordUnreachable(time.Now(), err)
 		}
 		return chivegauge.Refuse(chivegauge.CodeNoBackend, "the backend server can't be reached: "+err.Error())
 	}
