Clear a request of crashes only when it completed

Callers saw a request that had crashed three backend servers sent on. Any response cleared the crashes counted against it, at every node: also a refusal of a full backend server that says it did not run the request, an error, and the head of a streamed response that then broke off, which was not counted as interrupted either.

Only a response below 500 whose body was read to its end clears now, and a streamed body that breaks off counts as an interruption.

TestClearsOnlyCompletedRequests: five of its nine cases failed before.

--- a/internal/stream/executor/crash.go
+++ b/internal/stream/executor/crash.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"os"
 	"slices"
 	"syscall"
 	"time"
@@ -137,13 +139,22 @@
 	e.interrupted = e.interrupted.withoutRequests()
 }
 
-// recordResponse clears the request, and the interrupted requests if the response shows that the backend server hasn't
-// crashed: it was running when the request was sent, unless another backend server responded in its place.
+// recordResponse clears the interrupted requests if the response shows that the backend server hasn't crashed: it was
+// running when the request was sent, unless another backend server responded in its place. Once the body has been read
+// to its end, the request itself has completed; if its body breaks off, it was interrupted.
 func (e *executor) recordResponse(sent time.Time, response *streamer.Response, c chivegauge.Call, r *streamer.Request) {
-	replaced := response.Status == http.StatusMisdirectedRequest
-	if !replaced && !e.CrashTracker.Empty() {
-		e.CrashTracker.Clear(time.Now(), r.Fingerprint(c.Workspace, c.Route))
+	switch {
+	case response.Status >= http.StatusInternalServerError || e.notRun(response):
+	case response.Buffered():
+		e.recordCompletion(c, r)
+	default:
+		response.Body = &watchedBody{
+			ReadCloser: response.Body,
+			onEnd:      func() { e.recordCompletion(c, r) },
+			onError:    func() { e.recordInterrupted(time.Now(), c, r) },
+		}
 	}
+	replaced := response.Status == http.StatusMisdirectedRequest
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
@@ -153,3 +164,31 @@
 		e.interrupted = e.interrupted.withoutRequests()
 	}
 }
+
+// recordCompletion clears a request that the backend server ran to its end without an error: an error response may have
+// been sent instead of running it.
+func (e *executor) recordCompletion(c chivegauge.Call, r *streamer.Request) {
+	if !e.CrashTracker.Empty() {
+		e.CrashTracker.Clear(time.Now(), r.Fingerprint(c.Workspace, c.Route))
+	}
+}
+
+// watchedBody calls a function when the body has been read to its end or breaks off.
+type watchedBody struct {
+	io.ReadCloser
+	onEnd   func()
+	onError func()
+}
+
+// Read reads from the body.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		b.onEnd()
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		b.onError()
+	}
+	return n, err
+}
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -292,10 +292,15 @@
 	return chivegauge.RefuseMayHaveRun(chivegauge.CodeOutcomeUnknown, "the backend server broke off: "+err.Error())
 }
 
+// notRun reports whether the response says that the backend server didn't run the request.
+func (e *executor) notRun(response *streamer.Response) bool {
+	return response.Status == http.StatusMisdirectedRequest || response.Header.Get(e.Names.NotRun) != ""
+}
+
 // handleResponse returns the response, or a refusal if the response says that the backend server didn't run the
 // request.
 func (e *executor) handleResponse(response *streamer.Response, held permits) *streamer.Response {
-	if response.Status == http.StatusMisdirectedRequest || response.Header.Get(e.Names.NotRun) != "" {
+	if e.notRun(response) {
 		response.Release()
 		e.release(held, true)
 		e.recordRun(true)
--- a/internal/stream/executor/executor_test.go
+++ b/internal/stream/executor/executor_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -274,6 +277,60 @@
 	}
 }
 
+// streams returns a response whose body is streamed and ends with the error.
+func streams(end error) func(context.Context) (*streamer.Response, error) {
+	return func(context.Context) (*streamer.Response, error) {
+		return &streamer.Response{
+			Status: http.StatusOK,
+			Header: http.Header{},
+			Body:   io.NopCloser(io.MultiReader(strings.NewReader("x"), iotest.ErrReader(end))),
+			Length: -1,
+		}, nil
+	}
+}
+
+// TestClearsOnlyCompletedRequests checks which responses clear a request against which crashes are counted, and that a
+// crash in the middle of a response is counted.
+func TestClearsOnlyCompletedRequests(t *testing.T) {
+	tests := map[string]struct {
+		respond func(context.Context) (*streamer.Response, error)
+		cleared int
+		crashed int
+	}{
+		"completed":                  {respond: status(http.StatusOK, http.Header{}), cleared: 1},
+		"not found":                  {respond: status(http.StatusNotFound, http.Header{}), cleared: 1},
+		"reported as not run":        {respond: status(http.StatusServiceUnavailable, http.Header{"Chivegauge-Not-Run": {"1"}})},
+		"too many, not run":          {respond: status(http.StatusTooManyRequests, http.Header{"Chivegauge-Not-Run": {"1"}})},
+		"another backend server":     {respond: status(http.StatusMisdirectedRequest, http.Header{})},
+		"failed":                     {respond: status(http.StatusInternalServerError, http.Header{})},
+		"streamed to its end":        {respond: streams(io.EOF), cleared: 1},
+		"streamed, then interrupted": {respond: streams(io.ErrUnexpectedEOF), crashed: 1},
+		"streamed, then cancelled":   {respond: streams(os.ErrDeadlineExceeded)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := &backend{
+					respond: tt.respond,
+					connect: syscall.ECONNREFUSED,
+				}
+				e := newExecutor(b)
+				e.ApplyReport(time.Now(), report("i-1", 100, 1))
+				response := e.Run(context.Background(), call(), request())
+				if response.Body != nil {
+					_, _ = io.Copy(io.Discard, response.Body)
+				}
+				response.Release()
+				time.Sleep(time.Second)
+				synctest.Wait()
+				is.Equal(len(b.survived), tt.cleared)
+				is.Equal(len(b.crashed), tt.crashed)
+			})
+		})
+	}
+}
+
 // TestQuarantined checks that a request is refused as not run after backend servers crashed while they ran it.
 func TestQuarantined(t *testing.T) {
 	is := is.New(t)
