Report refused requests to nodes that don't know of them

Callers saw a request that had crashed three backend servers sent on: a node that was restarted, or out of reach when the others were told, sent it on until it recognised a crash itself. After a rolling restart no node knew of it.

Each node that refuses requests now reports them to one random node every 0.5 s, as long as they are refused; the cost for a node doesn't grow with the cluster. TestRestartedNodeRefuses failed before (not refused in 5 s).

--- a/internal/request/crashtracker/crashtracker.go
+++ b/internal/request/crashtracker/crashtracker.go
@@ -33,6 +33,11 @@
 	// batchDelay is how long a report waits for further crashes, sendTimeout bounds the sending of one report.
 	batchDelay  = 100 * time.Millisecond
 	sendTimeout = 400 * time.Millisecond
+
+	// syncInterval is the time between two reports of refused requests, each to one random node; with n nodes that refuse
+	// a request, one that doesn't receives about n reports in that time. A report has at most syncMax requests.
+	syncInterval = 500 * time.Millisecond
+	syncMax      = 256
 )
 
 // CrashReport is a report that nodes send to each other.
@@ -279,13 +284,19 @@
 	}
 }
 
-// Serve broadcasts pending reports in batches until the context ends.
+// Serve broadcasts pending reports in batches, and reports the refused requests to one other node after the other, until
+// the context ends.
 func (t *crashTracker) Serve(ctx context.Context) error {
 	defer t.group.Wait()
+	ticker := time.NewTicker(syncInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case now := <-ticker.C:
+			t.syncRandom(ctx, now)
+			continue
 		case <-t.wake:
 		}
 		select {
@@ -311,16 +322,56 @@
 	return r
 }
 
-// broadcast sends the report to each other node; a node that misses it receives the count with the next crash.
+// broadcast sends the report to each other node; one that misses it is told by syncRandom if the request is refused.
 func (t *crashTracker) broadcast(ctx context.Context, r CrashReport) {
+	r.From = t.members.Self().Address
+	for _, m := range t.otherNodes() {
+		t.group.Go(func() { t.send(ctx, m, r) })
+	}
+}
+
+func (t *crashTracker) otherNodes() []chivegauge.Member {
 	self := t.members.Self().Address
-	r.From = self
+	others := []chivegauge.Member{}
 	for _, m := range t.members.Alive() {
-		if m.Address == self {
-			continue
+		if m.Address != self {
+			others = append(others, m)
 		}
-		t.group.Go(func() { t.send(ctx, m, r) })
 	}
+	return others
+}
+
+// syncRandom reports the refused requests to a random node, which may have been restarted or out of reach.
+func (t *crashTracker) syncRandom(ctx context.Context, now time.Time) {
+	r := t.refused(now)
+	if len(r.Requests) == 0 {
+		return
+	}
+	others := t.otherNodes()
+	if len(others) == 0 {
+		return
+	}
+	r.From = t.members.Self().Address
+	m := others[rand.IntN(len(others))]
+	t.group.Go(func() { t.send(ctx, m, r) })
+}
+
+// refused returns a report of at most syncMax refused requests.
+func (t *crashTracker) refused(now time.Time) CrashReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := CrashReport{
+		Requests: map[uint64]Counters{},
+	}
+	for f, rec := range t.records {
+		if len(r.Requests) == syncMax {
+			break
+		}
+		if now.Sub(rec.lastCrash) <= retention && rec.counters.Sum() >= crashesMax {
+			r.Requests[f] = rec.counters
+		}
+	}
+	return r
 }
 
 func (t *crashTracker) send(ctx context.Context, m chivegauge.Member, r CrashReport) {
--- a/internal/request/crashtracker/crashtracker_test.go
+++ b/internal/request/crashtracker/crashtracker_test.go
@@ -263,3 +263,25 @@
 		is.Equal(n.Admit(start.Add(32*time.Second), poison), crashtracker.Unsuspected)
 	}
 }
+
+// TestRestartedNodeRefuses checks that a node that has seen neither a crash nor a report, such as after its restart,
+// learns which requests the others refuse, and which of them completed.
+func TestRestartedNodeRefuses(t *testing.T) {
+	c := newCluster(t)
+	const poison = uint64(7)
+	now := time.Now()
+	c.nodes["a"].Merge(now, crashtracker.CrashReport{
+		Requests: map[uint64]crashtracker.Counters{
+			poison: {
+				Crashes: map[uint64]int{
+					1: 3,
+				},
+			},
+		},
+	})
+	eventually(t, "refused at the other nodes", func() bool {
+		return c.nodes["b"].Quarantined(start, poison) && c.nodes["c"].Quarantined(start, poison)
+	})
+	c.nodes["c"].Clear(now, poison)
+	eventually(t, "cleared at the first node", func() bool { return !c.nodes["a"].Quarantined(now, poison) })
+}
