Let crash reports say when the last crash was

A node took the arrival of a report as the time of the last crash, so that nodes which report refused requests to each other would refuse them for ever. TestReportsDoNotProlongRefusals guards it.

--- a/internal/request/crashtracker/crashtracker.go
+++ b/internal/request/crashtracker/crashtracker.go
@@ -45,8 +45,28 @@
 	// From is the address to which the receiver sends its counts where they are higher, or empty.
 	From string `json:",omitempty"`
 
-	// Requests holds the counters of requests, by fingerprint.
-	Requests map[uint64]Counters
+	// SentAtMs is the sender's time of day, in milliseconds since 1970; 0 in a stored report.
+	SentAtMs int64 `json:",omitempty"`
+
+	// Requests holds the requests, by fingerprint.
+	Requests map[uint64]Request
+}
+
+// age returns how long before the report the last crash was; that of a stored report is relative to now.
+func (r CrashReport) age(now time.Time, q Request) time.Duration {
+	sentAtMs := r.SentAtMs
+	if sentAtMs == 0 {
+		sentAtMs = now.UnixMilli()
+	}
+	return time.Duration(max(0, sentAtMs-q.LastCrashMs)) * time.Millisecond
+}
+
+// Request is what a node knows of one request.
+type Request struct {
+	Counters
+
+	// LastCrashMs is the time of day of the last crash at the sender, in milliseconds since 1970.
+	LastCrashMs int64
 }
 
 // Members is the list of the nodes that are alive.
@@ -100,6 +120,14 @@
 	lastTrial time.Time
 }
 
+// request returns the record as it is reported.
+func (r record) request() Request {
+	return Request{
+		Counters:    r.counters,
+		LastCrashMs: r.lastCrash.UnixMilli(),
+	}
+}
+
 // trialDue reports whether a refused request may be tried at now.
 func (r record) trialDue(now time.Time) bool {
 	delay := trialDelay << min(trialDoublingsMax, r.counters.Sum()-crashesMax)
@@ -183,14 +211,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, f := range fingerprints {
-		t.setCounters(now, f, t.records[f].counters.WithCrash(t.process))
+		t.setCounters(now, f, t.records[f].counters.WithCrash(t.process), now)
 		t.pending[f] = true
 	}
 	t.wakeServe()
 }
 
-// setCounters replaces the counters of a request, and logs when it begins or ceases to be refused; t.mu is held.
-func (t *crashTracker) setCounters(now time.Time, f uint64, c Counters) {
+// setCounters replaces the counters of a request, with the time of the last crash if there are more crashes, and logs
+// when the request begins or ceases to be refused; t.mu is held.
+func (t *crashTracker) setCounters(now time.Time, f uint64, c Counters, lastCrash time.Time) {
 	old, ok := t.records[f]
 	if !ok && len(t.records) >= recordsMax {
 		t.evict(now)
@@ -198,8 +227,8 @@
 	before, after := old.counters.Sum(), c.Sum()
 	r := old
 	r.counters = c
-	if after > before || !ok {
-		r.lastCrash = now
+	if (after > before || !ok) && lastCrash.After(r.lastCrash) {
+		r.lastCrash = lastCrash
 	}
 	t.records[f] = r
 	switch {
@@ -237,7 +266,7 @@
 	if !ok || crashes == 0 {
 		return
 	}
-	t.setCounters(now, fingerprint, r.counters.WithCleared())
+	t.setCounters(now, fingerprint, r.counters.WithCleared(), now)
 	if crashes >= broadcastFrom {
 		t.pending[fingerprint] = true
 		t.wakeServe()
@@ -252,6 +281,7 @@
 			t.send(context.Background(), chivegauge.Member{
 				Address: r.From,
 			}, CrashReport{
+				SentAtMs: now.UnixMilli(),
 				Requests: missing,
 			})
 		})
@@ -259,18 +289,22 @@
 }
 
 // merge applies the report, and returns the counters that differ from it afterwards.
-func (t *crashTracker) merge(now time.Time, r CrashReport) map[uint64]Counters {
+func (t *crashTracker) merge(now time.Time, r CrashReport) map[uint64]Request {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	missing := map[uint64]Counters{}
+	missing := map[uint64]Request{}
 	for f, reported := range r.Requests {
+		age := r.age(now, reported)
+		if age > retention {
+			continue
+		}
 		known := t.records[f].counters
-		merged := known.WithMerged(reported)
+		merged := known.WithMerged(reported.Counters)
 		if !merged.Equal(known) {
-			t.setCounters(now, f, merged)
+			t.setCounters(now, f, merged, now.Add(-age))
 		}
-		if !merged.Equal(reported) {
-			missing[f] = merged
+		if !merged.Equal(reported.Counters) {
+			missing[f] = t.records[f].request()
 		}
 	}
 	return missing
@@ -304,19 +338,22 @@
 			return ctx.Err()
 		case <-time.After(batchDelay):
 		}
-		t.broadcast(ctx, t.takePending())
+		t.broadcast(ctx, t.takePending(time.Now()))
 	}
 }
 
 // takePending returns the report of the pending requests.
-func (t *crashTracker) takePending() CrashReport {
+func (t *crashTracker) takePending(now time.Time) CrashReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := CrashReport{
-		Requests: make(map[uint64]Counters, len(t.pending)),
+		SentAtMs: now.UnixMilli(),
+		Requests: make(map[uint64]Request, len(t.pending)),
 	}
 	for f := range t.pending {
-		r.Requests[f] = t.records[f].counters
+		if rec, ok := t.records[f]; ok {
+			r.Requests[f] = rec.request()
+		}
 	}
 	t.pending = map[uint64]bool{}
 	return r
@@ -343,35 +380,37 @@
 
 // syncRandom reports the refused requests to a random node, which may have been restarted or out of reach.
 func (t *crashTracker) syncRandom(ctx context.Context, now time.Time) {
-	r := t.refused(now)
-	if len(r.Requests) == 0 {
+	refused := t.refused(now)
+	if len(refused) == 0 {
 		return
 	}
 	others := t.otherNodes()
 	if len(others) == 0 {
 		return
 	}
-	r.From = t.members.Self().Address
 	m := others[rand.IntN(len(others))]
+	r := CrashReport{
+		From:     t.members.Self().Address,
+		SentAtMs: now.UnixMilli(),
+		Requests: refused,
+	}
 	t.group.Go(func() { t.send(ctx, m, r) })
 }
 
-// refused returns a report of at most syncMax refused requests.
-func (t *crashTracker) refused(now time.Time) CrashReport {
+// refused returns at most syncMax refused requests.
+func (t *crashTracker) refused(now time.Time) map[uint64]Request {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := CrashReport{
-		Requests: map[uint64]Counters{},
-	}
+	refused := map[uint64]Request{}
 	for f, rec := range t.records {
-		if len(r.Requests) == syncMax {
+		if len(refused) == syncMax {
 			break
 		}
 		if now.Sub(rec.lastCrash) <= retention && rec.counters.Sum() >= crashesMax {
-			r.Requests[f] = rec.counters
+			refused[f] = rec.request()
 		}
 	}
-	return r
+	return refused
 }
 
 func (t *crashTracker) send(ctx context.Context, m chivegauge.Member, r CrashReport) {
--- a/internal/request/crashtracker/crashtracker_test.go
+++ b/internal/request/crashtracker/crashtracker_test.go
@@ -47,7 +47,7 @@
 	return nil
 }
 
-var start = time.Unix(1000, 0)
+var start = time.Now()
 
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
@@ -84,6 +84,23 @@
 	t.Fatalf("condition not met within 5 s: %s", condition)
 }
 
+// crashReport returns a report of crashes that one other node process recognised, the last at the given time.
+func crashReport(fingerprint uint64, crashes int, last time.Time) crashtracker.CrashReport {
+	return crashtracker.CrashReport{
+		SentAtMs: last.UnixMilli(),
+		Requests: map[uint64]crashtracker.Request{
+			fingerprint: {
+				Counters: crashtracker.Counters{
+					Crashes: map[uint64]int{
+						1: crashes,
+					},
+				},
+				LastCrashMs: last.UnixMilli(),
+			},
+		},
+	}
+}
+
 // TestRefuses checks after how many crashes one node refuses a request.
 func TestRefuses(t *testing.T) {
 	const poison = uint64(7)
@@ -160,15 +177,7 @@
 	c := newCluster(t)
 	const poison = uint64(7)
 	for _, address := range []string{"a", "b"} {
-		c.nodes[address].Merge(start, crashtracker.CrashReport{
-			Requests: map[uint64]crashtracker.Counters{
-				poison: {
-					Crashes: map[uint64]int{
-						1: 4,
-					},
-				},
-			},
-		})
+		c.nodes[address].Merge(start, crashReport(poison, 4, start))
 	}
 	c.nodes["c"].RecordCrash(start, []uint64{poison})
 	eventually(t, "refused at the node with the lower count", func() bool { return c.nodes["c"].Quarantined(start, poison) })
@@ -193,28 +202,17 @@
 func TestReportsOvertakeEachOther(t *testing.T) {
 	is := is.New(t)
 	const poison = uint64(7)
-	crashes := func(n int) crashtracker.CrashReport {
-		return crashtracker.CrashReport{
-			Requests: map[uint64]crashtracker.Counters{
-				poison: {
-					Crashes: map[uint64]int{
-						1: n,
-					},
-				},
-			},
-		}
-	}
 	s := newCluster(t).nodes["a"]
 	for _, n := range []int{2, 1, 2, 2} {
-		s.Merge(start, crashes(n))
+		s.Merge(start, crashReport(poison, n, start))
 		is.True(!s.Quarantined(start, poison))
 	}
-	s.Merge(start, crashes(3))
+	s.Merge(start, crashReport(poison, 3, start))
 	is.True(s.Quarantined(start, poison))
 	s.Clear(start, poison)
-	s.Merge(start, crashes(3))
+	s.Merge(start, crashReport(poison, 3, start))
 	is.True(!s.Quarantined(start, poison))
-	s.Merge(start, crashes(6))
+	s.Merge(start, crashReport(poison, 6, start))
 	is.True(s.Quarantined(start, poison))
 }
 
@@ -226,15 +224,7 @@
 	const poison = uint64(7)
 	crash := func(at time.Time, crashes int) {
 		for _, n := range c.nodes {
-			n.Merge(at, crashtracker.CrashReport{
-				Requests: map[uint64]crashtracker.Counters{
-					poison: {
-						Crashes: map[uint64]int{
-							1: crashes,
-						},
-					},
-				},
-			})
+			n.Merge(at, crashReport(poison, crashes, at))
 		}
 	}
 	trials := func(at time.Time) int {
@@ -270,18 +260,24 @@
 	c := newCluster(t)
 	const poison = uint64(7)
 	now := time.Now()
-	c.nodes["a"].Merge(now, crashtracker.CrashReport{
-		Requests: map[uint64]crashtracker.Counters{
-			poison: {
-				Crashes: map[uint64]int{
-					1: 3,
-				},
-			},
-		},
-	})
+	c.nodes["a"].Merge(now, crashReport(poison, 3, start))
 	eventually(t, "refused at the other nodes", func() bool {
 		return c.nodes["b"].Quarantined(start, poison) && c.nodes["c"].Quarantined(start, poison)
 	})
 	c.nodes["c"].Clear(now, poison)
 	eventually(t, "cleared at the first node", func() bool { return !c.nodes["a"].Quarantined(now, poison) })
 }
+
+// TestReportsDoNotProlongRefusals checks that a request is refused until a fixed time after its last crash, however late
+// other nodes report it.
+func TestReportsDoNotProlongRefusals(t *testing.T) {
+	is := is.New(t)
+	const poison = uint64(7)
+	s := newCluster(t).nodes["a"]
+	for _, after := range []time.Duration{0, 4 * time.Minute, 6 * time.Minute} {
+		r := crashReport(poison, 3, start)
+		r.SentAtMs = start.Add(after).UnixMilli()
+		s.Merge(start.Add(after), r)
+		is.Equal(s.Quarantined(start.Add(after), poison), after < 5*time.Minute)
+	}
+}
