Keep refused requests in the store, for when all nodes are restarted

Callers saw a request that had crashed three backend servers sent on. The crashes were kept in the memory of the nodes alone: after a kill of all of them the request could crash three more backend servers, and as many again as it ran at the same time.

One write for each change. TestRefusedAfterRestartOfAllNodes guards it; there was nothing published to test before.

--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -185,7 +185,8 @@
 		initial = 1
 	}
 	n.clusterLimiter = clusterlimiter.New(timekeeper.Now, n.members, c, initial)
-	n.crashTracker = crashtracker.New(n.members, c, n.log)
+	n.crashTracker = crashtracker.New(n.members, c, n, n.log)
+	n.members.SubscribeRecords(n.mergeRefused)
 	n.config.Subscribe(func(r router.Router) { n.clusterLimiter.Configure(r.Workspaces()) })
 	n.members.Subscribe(n.clusterLimiter.Resize)
 }
--- a/internal/cluster/registrar/record.go
+++ b/internal/cluster/registrar/record.go
@@ -1,6 +1,9 @@
 package registrar
 
-import "github.com/chivegauge/chivegauge"
+import (
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/request/crashtracker"
+)
 
 // Record describes one node and its backend server; only that node writes it.
 type Record struct {
@@ -18,6 +21,9 @@
 	// Slots is the number of requests that the backend server runs at once.
 	Slots int
 
+	// Refused holds refused requests, so that they stay refused if all nodes are restarted.
+	Refused crashtracker.Requests `json:",omitempty"`
+
 	// Leaving is set when the backend server accepts no new requests.
 	Leaving bool
 }
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -72,6 +72,8 @@
 	Withdraw(ctx context.Context) error
 	// Subscribe registers a function that is called when the number of nodes changes.
 	Subscribe(f func(n int))
+	// SubscribeRecords registers a function that is called with each record that is read or received.
+	SubscribeRecords(f func(rec Record))
 }
 
 type registrar struct {
@@ -80,6 +82,7 @@
 	notifier    Notifier
 	log         zerolog.Logger
 	subscribers []func(n int)
+	onRecord    []func(rec Record)
 	byService   atomic.Pointer[map[string][]chivegauge.Member]
 	alive       atomic.Pointer[[]chivegauge.Member]
 	synced      atomic.Bool
@@ -116,6 +119,11 @@
 	r.subscribers = append(r.subscribers, f)
 }
 
+// SubscribeRecords registers a function; it must be called before Serve.
+func (r *registrar) SubscribeRecords(f func(rec Record)) {
+	r.onRecord = append(r.onRecord, f)
+}
+
 // Synced reports whether the list has been read at least once.
 func (r *registrar) Synced() bool {
 	return r.synced.Load()
@@ -237,6 +245,7 @@
 		return rec
 	}
 	rec.Member = rec.Member.WithIncarnationAbove(r.previous.Member)
+	rec.Refused = r.previous.Refused
 	return r.inheritLeaving(rec)
 }
 
@@ -255,6 +264,9 @@
 // mergeRecord stores a record that is newer than the stored one of its address; in the first list, a record of this
 // node's address by another process becomes the previous record.
 func (r *registrar) mergeRecord(rec Record, first bool) {
+	for _, f := range r.onRecord {
+		f(rec)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if rec.Member.Address == r.own.Member.Address {
--- a/internal/request/crashtracker/crashtracker.go
+++ b/internal/request/crashtracker/crashtracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -48,10 +49,12 @@
 	// SentAtMs is the sender's time of day, in milliseconds since 1970; 0 in a stored report.
 	SentAtMs int64 `json:",omitempty"`
 
-	// Requests holds the requests, by fingerprint.
-	Requests map[uint64]Request
+	Requests Requests
 }
 
+// Requests are requests by fingerprint.
+type Requests map[uint64]Request
+
 // age returns how long before the report the last crash was; that of a stored report is relative to now.
 func (r CrashReport) age(now time.Time, q Request) time.Duration {
 	sentAtMs := r.SentAtMs
@@ -80,6 +83,11 @@
 	NotifyCrashes(ctx context.Context, m chivegauge.Member, r CrashReport) error
 }
 
+// Publisher stores refused requests for nodes that start when no other is left.
+type Publisher interface {
+	PublishRefused(ctx context.Context, refused Requests)
+}
+
 // CrashTracker counts the crashes of backend servers against requests.
 type CrashTracker interface {
 	// Quarantined reports whether requests with the fingerprint must not run, except on trial.
@@ -128,6 +136,11 @@
 	}
 }
 
+// Equal reports whether both say the same of the request.
+func (q Request) Equal(other Request) bool {
+	return q.Counters.Equal(other.Counters) && q.LastCrashMs == other.LastCrashMs
+}
+
 // trialDue reports whether a refused request may be tried at now.
 func (r record) trialDue(now time.Time) bool {
 	delay := trialDelay << min(trialDoublingsMax, r.counters.Sum()-crashesMax)
@@ -139,6 +152,7 @@
 	process  uint64
 	members  Members
 	notifier Notifier
+	store    Publisher
 	log      zerolog.Logger
 	wake     chan struct{}
 	group    sync.WaitGroup
@@ -148,14 +162,18 @@
 
 	// pending holds the fingerprints of the requests in the next report.
 	pending map[uint64]bool
+
+	// published holds the requests that this node published last.
+	published Requests
 }
 
 // New returns a crash tracker without counted crashes.
-func New(m Members, n Notifier, log zerolog.Logger) CrashTracker {
+func New(m Members, n Notifier, p Publisher, log zerolog.Logger) CrashTracker {
 	return &crashTracker{
 		process:  rand.Uint64(),
 		members:  m,
 		notifier: n,
+		store:    p,
 		log:      log,
 		wake:     make(chan struct{}, 1),
 		records:  map[uint64]record{},
@@ -289,10 +307,10 @@
 }
 
 // merge applies the report, and returns the counters that differ from it afterwards.
-func (t *crashTracker) merge(now time.Time, r CrashReport) map[uint64]Request {
+func (t *crashTracker) merge(now time.Time, r CrashReport) Requests {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	missing := map[uint64]Request{}
+	missing := Requests{}
 	for f, reported := range r.Requests {
 		age := r.age(now, reported)
 		if age > retention {
@@ -329,7 +347,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
-			t.syncRandom(ctx, now)
+			refused := t.refused(now)
+			t.syncRandom(ctx, now, refused)
+			t.publish(ctx, refused)
 			continue
 		case <-t.wake:
 		}
@@ -348,7 +368,7 @@
 	defer t.mu.Unlock()
 	r := CrashReport{
 		SentAtMs: now.UnixMilli(),
-		Requests: make(map[uint64]Request, len(t.pending)),
+		Requests: make(Requests, len(t.pending)),
 	}
 	for f := range t.pending {
 		if rec, ok := t.records[f]; ok {
@@ -379,8 +399,7 @@
 }
 
 // syncRandom reports the refused requests to a random node, which may have been restarted or out of reach.
-func (t *crashTracker) syncRandom(ctx context.Context, now time.Time) {
-	refused := t.refused(now)
+func (t *crashTracker) syncRandom(ctx context.Context, now time.Time, refused Requests) {
 	if len(refused) == 0 {
 		return
 	}
@@ -397,11 +416,26 @@
 	t.group.Go(func() { t.send(ctx, m, r) })
 }
 
+// publish publishes those of the refused requests whose trials this node admits, if they have changed.
+func (t *crashTracker) publish(ctx context.Context, refused Requests) {
+	own := Requests{}
+	for f, q := range refused {
+		if t.admitsTrial(f) {
+			own[f] = q
+		}
+	}
+	if maps.EqualFunc(own, t.published, Request.Equal) {
+		return
+	}
+	t.published = own
+	t.group.Go(func() { t.store.PublishRefused(ctx, own) })
+}
+
 // refused returns at most syncMax refused requests.
-func (t *crashTracker) refused(now time.Time) map[uint64]Request {
+func (t *crashTracker) refused(now time.Time) Requests {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	refused := map[uint64]Request{}
+	refused := Requests{}
 	for f, rec := range t.records {
 		if len(refused) == syncMax {
 			break
--- a/internal/request/crashtracker/crashtracker_test.go
+++ b/internal/request/crashtracker/crashtracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,6 +18,9 @@
 type cluster struct {
 	nodes    map[string]crashtracker.CrashTracker
 	received atomic.Int64 // reports
+
+	mu        sync.Mutex
+	published map[string]crashtracker.Requests // by the address of the node
 }
 
 // view is the cluster from the view of one node.
@@ -47,12 +51,30 @@
 	return nil
 }
 
+func (v view) PublishRefused(_ context.Context, refused crashtracker.Requests) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.published[v.self] = refused
+}
+
+// stored returns the requests that the nodes have published.
+func (c *cluster) stored() crashtracker.Requests {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := crashtracker.Requests{}
+	for _, refused := range c.published {
+		maps.Copy(all, refused)
+	}
+	return all
+}
+
 var start = time.Now()
 
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{
-		nodes: map[string]crashtracker.CrashTracker{},
+		nodes:     map[string]crashtracker.CrashTracker{},
+		published: map[string]crashtracker.Requests{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	group := sync.WaitGroup{}
@@ -61,7 +83,7 @@
 			cluster: c,
 			self:    address,
 		}
-		c.nodes[address] = crashtracker.New(v, v, zerolog.Nop())
+		c.nodes[address] = crashtracker.New(v, v, v, zerolog.Nop())
 	}
 	for _, n := range c.nodes {
 		group.Go(func() { _ = n.Serve(ctx) })
@@ -88,7 +110,7 @@
 func crashReport(fingerprint uint64, crashes int, last time.Time) crashtracker.CrashReport {
 	return crashtracker.CrashReport{
 		SentAtMs: last.UnixMilli(),
-		Requests: map[uint64]crashtracker.Request{
+		Requests: crashtracker.Requests{
 			fingerprint: {
 				Counters: crashtracker.Counters{
 					Crashes: map[uint64]int{
@@ -281,3 +303,32 @@
 		is.Equal(s.Quarantined(start.Add(after), poison), after < 5*time.Minute)
 	}
 }
+
+// TestRefusedAfterRestartOfAllNodes checks that one node publishes a refused request, that nodes which start with only
+// what is published refuse it, and that it is no longer published once it completed.
+func TestRefusedAfterRestartOfAllNodes(t *testing.T) {
+	is := is.New(t)
+	const poison = uint64(7)
+	c := newCluster(t)
+	c.nodes["a"].Merge(start, crashReport(poison, 3, start))
+	eventually(t, "published", func() bool { return len(c.stored()) == 1 })
+	publishers := 0
+	c.mu.Lock()
+	for _, refused := range c.published {
+		publishers += len(refused)
+	}
+	c.mu.Unlock()
+	is.Equal(publishers, 1)
+	for after, refused := range map[time.Duration]bool{
+		time.Minute:     true,
+		6 * time.Minute: false,
+	} {
+		n := newCluster(t).nodes["b"]
+		n.Merge(start.Add(after), crashtracker.CrashReport{
+			Requests: c.stored(),
+		})
+		is.Equal(n.Quarantined(start.Add(after), poison), refused)
+	}
+	c.nodes["b"].Clear(start, poison)
+	eventually(t, "no longer published", func() bool { return len(c.stored()) == 0 })
+}
