--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"testing"
 	"time"
@@ -136,3 +137,48 @@
 	})
 	is.Equal(response.Refusal.Code, chivegauge.CodeBackendCrashed)
 }
+
+// overloaded is a backend server that responds with an error, which doesn't say whether it ran the request.
+type overloaded struct{}
+
+func (overloaded) Up() bool { return true }
+
+func (overloaded) Send(context.Context, chivegauge.Call, string) (chivegauge.Response, *chivegauge.Refusal) {
+	return chivegauge.Response{
+		Status: http.StatusServiceUnavailable,
+	}, nil
+}
+
+// outcomes records how admitted requests end.
+type outcomes struct {
+	list []isolator.Outcome
+}
+
+func (o *outcomes) Admit(context.Context, chivegauge.Call) (isolator.Admission, *chivegauge.Refusal) {
+	return isolator.Admission{}, nil
+}
+
+func (o *outcomes) Release(_ isolator.Admission, outcome isolator.Outcome) {
+	o.list = append(o.list, outcome)
+}
+
+// TestErrorDoesNotClearSuspect checks that an error response is not taken for the completion of a request.
+func TestErrorDoesNotClearSuspect(t *testing.T) {
+	tests := map[string]struct {
+		backend executor.Backend
+		outcome isolator.Outcome
+	}{
+		"answered": {backend: &backend{}, outcome: isolator.Completed},
+		"error":    {backend: overloaded{}, outcome: isolator.Inconclusive},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := newExecutor(tt.backend)
+			o := &outcomes{}
+			x.Attach(nil, o)
+			x.Execute(context.Background(), call(1))
+			x.Wait()
+			is.New(t).Equal(o.list, []isolator.Outcome{tt.outcome})
+		})
+	}
+}
--- a/internal/request/executor/running.go
+++ b/internal/request/executor/running.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"net/http"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -70,7 +71,10 @@
 	}
 	response, refusal := e.backend.Send(r.Context, r.Call, r.token)
 	e.limiter.Release(permit, refusal != nil)
-	if refusal == nil {
+	switch {
+	case refusal == nil && response.Status >= http.StatusInternalServerError:
+		return response, isolator.Inconclusive
+	case refusal == nil:
 		return response, isolator.Completed
 	}
 	outcome := isolator.Inconclusive
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -48,9 +48,10 @@
 
 // The outcomes of an admitted request.
 const (
-	// Inconclusive is the outcome of a request that got no response and didn't crash the backend server.
+	// Inconclusive is the outcome of a request that got no response, or one of an error, and didn't crash the backend
+	// server.
 	Inconclusive Outcome = iota
-	// Completed is the outcome of a request to which the backend server responded.
+	// Completed is the outcome of a request to which the backend server responded without an error.
 	Completed
 	// Crashed is the outcome of a request during which the backend server crashed.
 	Crashed
