--- a/internal/proof/faultinjector/relay.go
+++ b/internal/proof/faultinjector/relay.go
@@ -12,14 +12,16 @@
 
 // Relay is a TCP proxy in front of a target that can cut, freeze or silence its connections.
 type Relay struct {
-	listener net.Listener
-	target   string
-	group    sync.WaitGroup
+	address string
+	target  string
+	group   sync.WaitGroup
 
-	mu     sync.Mutex
-	cut    bool
-	conns  map[*proxied]bool
-	closed bool
+	mu       sync.Mutex
+	listener net.Listener
+	shut     bool
+	cut      bool
+	conns    map[*proxied]bool
+	closed   bool
 }
 
 // proxied is one relayed connection; while it is silent, the bytes of both directions are discarded, and while it is
@@ -34,27 +36,58 @@
 
 // NewRelay returns a relay that listens on a free loopback address, or an error.
 func NewRelay(target string) (*Relay, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return NewRelayAt("127.0.0.1:0", target)
+}
+
+// NewRelayAt returns a relay that listens on the address, or an error.
+func NewRelayAt(address, target string) (*Relay, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	r := &Relay{
+		address:  ln.Addr().String(),
 		listener: ln,
 		target:   target,
 		conns:    map[*proxied]bool{},
 	}
-	r.group.Go(r.accept)
+	r.group.Go(func() { r.accept(ln) })
 	return r, nil
 }
 
 // Address returns the address that the relay listens on.
 func (r *Relay) Address() string {
-	return r.listener.Addr().String()
+	return r.address
+}
+
+// ClosePort refuses new connections, like the port of a process that has exited, until OpenPort is called.
+func (r *Relay) ClosePort() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shut = true
+	_ = r.listener.Close()
 }
 
-func (r *Relay) accept() {
+// OpenPort accepts connections again after ClosePort.
+func (r *Relay) OpenPort() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.shut || r.closed {
+		return nil
+	}
+	ln, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return err
+	}
+	r.shut = false
+	r.listener = ln
+	r.group.Go(func() { r.accept(ln) })
+	return nil
+}
+
+func (r *Relay) accept(ln net.Listener) {
 	for {
-		client, err := r.listener.Accept()
+		client, err := ln.Accept()
 		if err != nil {
 			return
 		}
@@ -159,8 +192,8 @@
 func (r *Relay) Close() {
 	r.mu.Lock()
 	r.closed = true
-	r.mu.Unlock()
 	_ = r.listener.Close()
+	r.mu.Unlock()
 	r.each(func(c *proxied) { c.close() })
 	r.group.Wait()
 }
