Ask for the members outside the lock of the crash tracker

It is taken by the executor, below whose lock members are not asked: the order of locks stays executor, crash tracker.

TestRefusedAfterRestartOfAllNodes failed once ("no longer published"): it cleared the request at a node that a report had not reached yet, which has nothing to clear. It waits for the report first; 25 of 25 runs pass with the race detector.

--- a/internal/request/crashtracker/crashtracker.go
+++ b/internal/request/crashtracker/crashtracker.go
@@ -205,10 +205,13 @@
 	if !t.Quarantined(now, fingerprint) {
 		return Unsuspected
 	}
+	if !t.admitsTrial(fingerprint) {
+		return Quarantined
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[fingerprint]
-	if !r.trialDue(now) || !t.admitsTrial(fingerprint) {
+	if !r.trialDue(now) {
 		return Quarantined
 	}
 	r.lastTrial = now
--- a/internal/request/crashtracker/crashtracker_test.go
+++ b/internal/request/crashtracker/crashtracker_test.go
@@ -329,6 +329,7 @@
 		})
 		is.Equal(n.Quarantined(start.Add(after), poison), refused)
 	}
+	eventually(t, "known at the node that completes it", func() bool { return c.nodes["b"].Quarantined(start, poison) })
 	c.nodes["b"].Clear(start, poison)
 	eventually(t, "no longer published", func() bool { return len(c.stored()) == 0 })
 }
