Hold the limit that a backend server announces

The load it reports is relative to the concurrency at that rate; otherwise other nodes would take it for idle.

--- a/headernames.go
+++ b/headernames.go
@@ -17,6 +17,10 @@
 	// NotRun marks the response of a backend server that did not run the request.
 	NotRun string
 
+	// RateLimit carries, in a response of a backend server, the requests per second that it takes from all callers together;
+	// a response without it says that there is no limit.
+	RateLimit string
+
 	// Caller carries the service of the instance that made a request.
 	Caller string
 
@@ -32,6 +36,7 @@
 		Workspace: HeaderWorkspace,
 		Expected:  HeaderPrefix + "Expected-Instance",
 		NotRun:    HeaderPrefix + "Not-Run",
+		RateLimit: HeaderPrefix + "Rate-Limit",
 		Caller:    HeaderPrefix + "Caller",
 		KeyScheme: "Bearer",
 	}
--- a/internal/policy/scheduler/scheduler.go
+++ b/internal/policy/scheduler/scheduler.go
@@ -26,6 +26,8 @@
 	// Push queues the item; if the queue was full, it returns the item that was evicted instead, which may be the pushed
 	// one, and true.
 	Push(it Item) (victim Item, full bool)
+	// PushWithin is like Push for a queue of at most capacity items, if that is less than its own capacity.
+	PushWithin(it Item, capacity int) (victim Item, full bool)
 	// Pop removes and returns the next item to run at now, and the expired items that it removed before it.
 	Pop(now time.Time) (next Item, expired []Item, ok bool)
 	// Remove removes the item and reports whether it was queued.
@@ -63,8 +65,13 @@
 
 // Push queues the item; if the queue was full, it evicts and returns an item.
 func (s *scheduler) Push(it Item) (Item, bool) {
+	return s.PushWithin(it, s.capacity)
+}
+
+// PushWithin queues the item; if more than capacity items are queued then, it evicts and returns an item.
+func (s *scheduler) PushWithin(it Item, capacity int) (Item, bool) {
 	s.insert(it)
-	if s.len <= s.capacity {
+	if s.len <= min(capacity, s.capacity) {
 		return Item{}, false
 	}
 	return s.evict(it), true
--- a/internal/request/concurrencylimiter/concurrencylimiter.go
+++ b/internal/request/concurrencylimiter/concurrencylimiter.go
@@ -22,7 +22,8 @@
 	inFlight  int
 }
 
-// ConcurrencyLimiter limits the number of requests that run concurrently on one backend server.
+// ConcurrencyLimiter limits the number of requests that run concurrently on one backend server, and the rate at which
+// they are admitted if the backend server announces a limit.
 type ConcurrencyLimiter interface {
 	// Acquire waits for a permit to run the call, or returns a refusal that says that the call did not run.
 	Acquire(ctx context.Context, c chivegauge.Call) (Permit, *chivegauge.Refusal)
@@ -34,6 +35,10 @@
 	Level(c chivegauge.Call) int
 	// ColdStart restarts the ramp-up of the limit after the backend server was started.
 	ColdStart()
+	// SetRate limits the requests that are admitted per second.
+	SetRate(perSecond float64)
+	// RemoveRate removes that limit.
+	RemoveRate()
 	// SetDraining turns draining on or off: while it is on, new requests are refused and queued ones still run.
 	SetDraining(on bool)
 }
@@ -55,6 +60,8 @@
 	lastID    uint64
 	running   int
 	draining  bool
+	pace      pace
+	scheduled bool // a call of admitQueued
 }
 
 // Option configures a concurrency limiter.
@@ -124,7 +131,7 @@
 			refusal: refusal,
 		}
 	}
-	if cl.running < cl.limiter.Limit() && cl.queue.Len() == 0 {
+	if cl.running < cl.limiter.Limit() && cl.queue.Len() == 0 && cl.pace.take(now) {
 		return scheduler.Item{}, nil, cl.admit(now, now)
 	}
 	cl.lastID++
@@ -138,12 +145,13 @@
 	}
 	ch := make(chan decision, 1)
 	cl.waiters[item.ID] = ch
-	if evicted, full := cl.queue.Push(item); full {
+	if evicted, full := cl.queue.PushWithin(item, cl.pace.queueMax(cl.maxWait)); full {
 		cl.deliver(evicted, decision{
 			refusal: busyRefusal("the queue is full"),
 		})
 		cl.observeWait(now, 0, true)
 	}
+	cl.admitQueued(now)
 	return item, ch, decision{}
 }
 
@@ -227,7 +235,18 @@
 	if cl.admission != nil {
 		cl.admission.CountFinished(now)
 	}
-	for cl.running < cl.limiter.Limit() {
+	cl.pace = cl.pace.withRun(now.Sub(p.startedAt))
+	cl.admitQueued(now)
+}
+
+// admitQueued admits queued requests within the limit and the rate, and calls itself again when the rate admits the next
+// one; cl.mu is held.
+func (cl *concurrencyLimiter) admitQueued(now time.Time) {
+	for cl.queue.Len() > 0 && cl.running < cl.limiter.Limit() {
+		if wait := cl.pace.wait(now); wait > 0 {
+			cl.scheduleAdmission(wait)
+			return
+		}
 		next, expired, ok := cl.queue.Pop(now)
 		for _, item := range expired {
 			cl.deliver(item, decision{
@@ -238,18 +257,51 @@
 		if !ok {
 			return
 		}
+		cl.pace.take(now)
 		cl.deliver(next, cl.admit(now, next.Queued))
 	}
 }
 
-// Load returns the number of running and of queued requests and the concurrency limit.
+// scheduleAdmission calls admitQueued after the wait, unless a call is scheduled already; cl.mu is held.
+func (cl *concurrencyLimiter) scheduleAdmission(wait time.Duration) {
+	if cl.scheduled {
+		return
+	}
+	cl.scheduled = true
+	time.AfterFunc(wait, func() {
+		cl.mu.Lock()
+		defer cl.mu.Unlock()
+		cl.scheduled = false
+		cl.admitQueued(cl.now())
+	})
+}
+
+// SetRate limits the requests that are admitted per second.
+func (cl *concurrencyLimiter) SetRate(perSecond float64) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	now := cl.now()
+	cl.pace = cl.pace.withRate(now, perSecond)
+	cl.admitQueued(now)
+}
+
+// RemoveRate removes the limit of the requests that are admitted per second.
+func (cl *concurrencyLimiter) RemoveRate() {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.pace = cl.pace.withoutRate()
+	cl.admitQueued(cl.now())
+}
+
+// Load returns the number of running and of queued requests and the concurrency limit, or the lower concurrency at which
+// the rate is reached.
 func (cl *concurrencyLimiter) Load() picker.Load {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	return picker.Load{
 		Running: cl.running,
 		Waiting: cl.queue.Len(),
-		Limit:   cl.limiter.Limit(),
+		Limit:   cl.pace.concurrency(cl.limiter.Limit()),
 	}
 }
 
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -58,6 +58,7 @@
 	failures         failureRate
 	interrupted      interrupted
 	probing          bool
+	rate             announcedRate
 }
 
 // Config holds the dependencies of an executor.
@@ -99,6 +100,7 @@
 		e.failures = failureRate{}
 		e.recordCrash(now, otherProcess)
 		e.interrupted = interrupted{}
+		e.setRate(announcedRate{})
 	}
 	if e.reported && r.SameProcess(e.report) && e.report.Leaving {
 		r = r.WithLeaving()
@@ -240,6 +242,9 @@
 		e.release(held, true)
 		return streamer.RefusalResponse(e.exchangeRefusal(ctx, err, c, r))
 	}
+	if response.Status != http.StatusMisdirectedRequest {
+		e.applyAnnouncements(response.Header, report)
+	}
 	e.recordResponse(now, response, c, r)
 	response.OnRelease(func() { e.Correlator.End(id) })
 	return e.handleResponse(response, held)
