Send nothing more to a backend server that announces in a response that it leaves

A report can be lost or late, though, and the response is news already there: the node now treats it like a departure, and publishes it.

What is published is the last report at the time of the write, so that a report that was under way does not undo it. TestAnnouncedLeaving is new.

--- a/headernames.go
+++ b/headernames.go
@@ -21,6 +21,9 @@
 	// a response without it says that there is no limit.
 	RateLimit string
 
+	// Leaving marks, with the value 1, the responses of a backend server that is leaving.
+	Leaving string
+
 	// Caller carries the service of the instance that made a request.
 	Caller string
 
@@ -37,6 +40,7 @@
 		Expected:  HeaderPrefix + "Expected-Instance",
 		NotRun:    HeaderPrefix + "Not-Run",
 		RateLimit: HeaderPrefix + "Rate-Limit",
+		Leaving:   HeaderPrefix + "Leaving",
 		Caller:    HeaderPrefix + "Caller",
 		KeyScheme: "Bearer",
 	}
--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -136,6 +137,7 @@
 	stopping       chan struct{}
 	forwarder      forwarder.Forwarder
 	bounds         atomic.Pointer[Bounds]
+	group          sync.WaitGroup
 }
 
 // New returns a node with the settings, or an error if its metrics can't be registered.
@@ -267,6 +269,7 @@
 			BodyBufferBytes: bodyBufferBytes,
 		}),
 		CrashTracker: n.crashTracker,
+		Publisher:    n,
 		Log:          log,
 	})
 }
--- a/internal/app/assembler/reports.go
+++ b/internal/app/assembler/reports.go
@@ -36,11 +36,18 @@
 	n.publish(ctx, current)
 }
 
-// publish sends the state of the local backend server to the other nodes and to the store.
+// PublishReport publishes the state of the local backend server in the background.
+func (n *node) PublishReport(r executor.Report) {
+	n.group.Go(func() { n.publish(context.Background(), r) })
+}
+
+// publish sends the state of the local backend server to the other nodes and to the store; that is the last report at
+// the time, so that one which was overtaken doesn't undo it.
 func (n *node) publish(ctx context.Context, r executor.Report) {
 	n.log.Info().Str("Instance", r.Instance).Int64("Born", r.StartedAtMs).Uint64("Sequence", r.Sequence).Int("Slots", r.Slots).
 		Bool("Leaving", r.Leaving).Msg("backend server changed")
 	update := func(rec registrar.Record) registrar.Record {
+		r, _ := n.executor.LastReport()
 		rec.Instance = r.Instance
 		rec.StartedAtMs = r.StartedAtMs
 		rec.Sequence = r.Sequence
--- a/internal/stream/executor/announcement.go
+++ b/internal/stream/executor/announcement.go
@@ -4,8 +4,17 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 )
 
+// leavingValue is the value of the header that marks the responses of a leaving backend server.
+const leavingValue = "1"
+
+// Publisher publishes the state of the backend server to the other nodes without blocking.
+type Publisher interface {
+	PublishReport(r Report)
+}
+
 // announcedRate is the limit that the backend server announced last, in requests per second.
 type announcedRate struct {
 	limited   bool
@@ -28,14 +37,19 @@
 }
 
 // applyAnnouncements applies what a process of the backend server announces about itself in the header of a response:
-// the requests per second that it takes. A limit that can't be parsed leaves the last one unchanged.
-func (e *executor) applyAnnouncements(h http.Header, from Report) {
+// the requests per second that it takes, and that it is leaving. A limit that can't be parsed leaves the last one
+// unchanged.
+func (e *executor) applyAnnouncements(now time.Time, h http.Header, from Report) {
 	text := h.Get(e.Names.RateLimit)
 	if r, ok := parseRate(text); ok {
 		e.applyRate(r, from)
 	} else {
 		e.Log.Warn().Str("Instance", from.Instance).Str("Limit", text).Msg("limit of a backend server not understood")
 	}
+	if h.Get(e.Names.Leaving) == leavingValue && e.MarkLeaving(now, from.Instance, from.StartedAtMs) {
+		report, _ := e.LastReport()
+		e.Publisher.PublishReport(report)
+	}
 }
 
 // applyRate limits the rate at which requests are admitted, if the process that announced it still runs.
--- a/internal/stream/executor/announcement_test.go
+++ b/internal/stream/executor/announcement_test.go
@@ -64,3 +64,39 @@
 		})
 	}
 }
+
+// TestAnnouncedLeaving checks that a backend server that announces in a response that it is leaving gets no more requests,
+// and that this is published once.
+func TestAnnouncedLeaving(t *testing.T) {
+	tests := map[string]struct {
+		value   string
+		status  int
+		leaving bool
+	}{
+		"leaving":                 {value: "1", leaving: true},
+		"leaving, with an error":  {value: "1", status: http.StatusInternalServerError, leaving: true},
+		"leaving, of another one": {value: "1", status: http.StatusMisdirectedRequest},
+		"other value":             {value: "0"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := &backend{
+				respond: status(max(http.StatusOK, tt.status), http.Header{
+					chivegauge.OwnHeaderNames().Leaving: {tt.value},
+				}),
+			}
+			e := newExecutor(b)
+			e.ApplyReport(time.Now(), report("i-1", 100, 1))
+			for range 3 {
+				e.Run(context.Background(), call(), request())
+			}
+			got, _ := e.LastReport()
+			is.Equal(got.Leaving, tt.leaving)
+			is.Equal(len(b.sent) == 1, tt.leaving)
+			is.Equal(len(b.published) == 1, tt.leaving)
+			e.ApplyReport(time.Now(), report("i-2", 200, 1))
+			is.Equal(e.Run(context.Background(), call(), request()).Refusal == nil, tt.status != http.StatusMisdirectedRequest)
+		})
+	}
+}
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -76,6 +76,7 @@
 	DeclaredLimit limiter.Declared
 	Backend       connector.Connector
 	CrashTracker  CrashTracker
+	Publisher     Publisher
 	Log           zerolog.Logger
 }
 
@@ -243,7 +244,7 @@
 		return streamer.RefusalResponse(e.exchangeRefusal(ctx, err, c, r))
 	}
 	if response.Status != http.StatusMisdirectedRequest {
-		e.applyAnnouncements(response.Header, report)
+		e.applyAnnouncements(time.Now(), response.Header, report)
 	}
 	e.recordResponse(now, response, c, r)
 	response.OnRelease(func() { e.Correlator.End(id) })
--- a/internal/stream/executor/executor_test.go
+++ b/internal/stream/executor/executor_test.go
@@ -33,6 +33,8 @@
 	refuses  bool
 	crashed  []uint64
 	survived []uint64
+
+	published []executor.Report
 }
 
 func (b *backend) Empty() bool                         { return false }
@@ -40,6 +42,8 @@
 func (b *backend) RecordCrash(_ time.Time, f []uint64) { b.crashed = append(b.crashed, f...) }
 func (b *backend) Clear(_ time.Time, f uint64)         { b.survived = append(b.survived, f) }
 
+func (b *backend) PublishReport(r executor.Report) { b.published = append(b.published, r) }
+
 func (b *backend) Exchange(ctx context.Context, r *streamer.Request) (*streamer.Response, error) {
 	b.sent = append(b.sent, r)
 	return b.respond(ctx)
@@ -80,6 +84,7 @@
 		DeclaredLimit: l,
 		Backend:       b,
 		CrashTracker:  b,
+		Publisher:     b,
 		Log:           zerolog.Nop(),
 	})
 }
