--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -271,6 +271,7 @@
 		CrashTracker: n.crashTracker,
 		Publisher:    n,
 		Log:          log,
+		StateLog:     n.log,
 	})
 }
 
--- a/internal/stream/executor/announcement.go
+++ b/internal/stream/executor/announcement.go
@@ -60,7 +60,7 @@
 		return
 	}
 	if r.limited != e.rate.limited {
-		e.Log.Info().Str("Instance", from.Instance).Bool("Limited", r.limited).Float64("PerSecond", r.perSecond).Msg("limit of a backend server changed")
+		e.StateLog.Info().Str("Instance", from.Instance).Bool("Limited", r.limited).Float64("PerSecond", r.perSecond).Msg("limit of a backend server changed")
 	}
 	e.setRate(r)
 }
--- a/internal/stream/executor/crash.go
+++ b/internal/stream/executor/crash.go
@@ -134,7 +134,7 @@
 			e.interrupted.counted[f] = true
 		}
 	}
-	e.Log.Warn().Str("Instance", e.report.Instance).Int64("Born", e.report.StartedAtMs).Str("Evidence", string(by)).
+	e.StateLog.Warn().Str("Instance", e.report.Instance).Int64("Born", e.report.StartedAtMs).Str("Evidence", string(by)).
 		Int("Requests", len(requests)).Dur("AgeMs", age).Bool("Counted", counted).Msg("backend server crashed")
 	e.interrupted = e.interrupted.withoutRequests()
 }
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -77,7 +77,10 @@
 	Backend       connector.Connector
 	CrashTracker  CrashTracker
 	Publisher     Publisher
-	Log           zerolog.Logger
+
+	// Log is for lines about requests, which may be sampled, and StateLog for the rarer ones about the backend server.
+	Log      zerolog.Logger
+	StateLog zerolog.Logger
 }
 
 // New returns an executor that refuses all requests until the backend server reports.
--- a/internal/stream/executor/executor_test.go
+++ b/internal/stream/executor/executor_test.go
@@ -86,6 +86,7 @@
 		CrashTracker:  b,
 		Publisher:     b,
 		Log:           zerolog.Nop(),
+		StateLog:      zerolog.Nop(),
 	})
 }
 
