Hold an announced limit in the first interface too

The same cause in the node that buffers requests: it had no way for a backend server to announce a limit. Chivegauge-Rate-Limit in a response does it now; the concurrency limiter is the same. TestAnnouncedLimitIsHeld is new.

--- a/call.go
+++ b/call.go
@@ -108,6 +108,9 @@
 	Header    []HeaderField
 	Body      []byte
 
+	// RateLimit is the limit that the backend server announced with the response, or nil if it can't be parsed.
+	RateLimit *RateLimit
+
 	// Tokens is the number of retry tokens that the call did not spend and returns to its sender.
 	Tokens int
 
--- a/internal/request/executor/backend.go
+++ b/internal/request/executor/backend.go
@@ -81,12 +81,22 @@
 		return chivegauge.Response{}, chivegauge.RefuseMayHaveRun(chivegauge.CodeOutcomeUnknown, "the answer belongs to another request")
 	}
 	return chivegauge.Response{
-		Status: res.StatusCode,
-		Header: ResponseFields(res.Header),
-		Body:   body,
+		Status:    res.StatusCode,
+		Header:    ResponseFields(res.Header),
+		Body:      body,
+		RateLimit: rateLimit(res.Header),
 	}, nil
 }
 
+// rateLimit returns the limit that the backend server announces in the header, or nil if it can't be parsed.
+func rateLimit(h http.Header) *chivegauge.RateLimit {
+	limit, ok := chivegauge.ParseRateLimit(h.Get(chivegauge.OwnHeaderNames().RateLimit))
+	if !ok {
+		return nil
+	}
+	return &limit
+}
+
 // Up reports whether the backend server accepts connections.
 func (b *backend) Up() bool {
 	u, err := url.Parse(b.url)
--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -77,6 +77,7 @@
 	tracker tracker.Tracker
 	runs    map[tracker.Attempt]*Run
 	tokens  map[string]*Run
+	rate    chivegauge.RateLimit
 }
 
 // New returns an executor for the service; cancelGrace is how long a run that no sender waits for continues before it
@@ -105,8 +106,9 @@
 	return e.backend.Up()
 }
 
-// ColdStart restarts the ramp-up of the concurrency limit.
+// ColdStart restarts the ramp-up of the concurrency limit; a limit that the former process announced has ended.
 func (e *executor) ColdStart() {
+	e.applyRateLimit(&chivegauge.RateLimit{})
 	e.limiter.ColdStart()
 }
 
--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"net/http"
 	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -182,3 +185,66 @@
 		})
 	}
 }
+
+// limited is a backend server that announces a limit, or none, in its responses.
+type limited struct {
+	limit *chivegauge.RateLimit
+	calls atomic.Int64
+}
+
+func (b *limited) Up() bool { return true }
+
+func (b *limited) Send(context.Context, chivegauge.Call, string) (chivegauge.Response, *chivegauge.Refusal) {
+	b.calls.Add(1)
+	return chivegauge.Response{
+		Status:    http.StatusOK,
+		RateLimit: b.limit,
+	}, nil
+}
+
+// TestAnnouncedLimitIsHeld checks that no more calls than the backend server announced are admitted, until it announces
+// none or is started again.
+func TestAnnouncedLimitIsHeld(t *testing.T) {
+	ten := &chivegauge.RateLimit{
+		Limited:   true,
+		PerSecond: 10,
+	}
+	tests := map[string]struct {
+		first, next *chivegauge.RateLimit
+		restarts    bool
+		min, max    int64
+	}{
+		"limited":           {first: ten, next: ten, min: 9, max: 12},
+		"not understood":    {first: ten, min: 9, max: 12},
+		"no longer limited": {first: ten, next: &chivegauge.RateLimit{}, min: 90, max: 100},
+		"restarted":         {first: ten, next: &chivegauge.RateLimit{}, restarts: true, min: 100, max: 100},
+		"never limited":     {first: &chivegauge.RateLimit{}, min: 100, max: 100},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := &limited{
+					limit: tt.first,
+				}
+				x := newExecutor(b)
+				x.Execute(context.Background(), call(1))
+				b.limit = tt.next
+				b.calls.Store(0)
+				if tt.restarts {
+					x.ColdStart()
+				}
+				group := sync.WaitGroup{}
+				for n := range uint64(100) {
+					group.Go(func() { x.Execute(context.Background(), call(n+2)) })
+					time.Sleep(10 * time.Millisecond)
+				}
+				admitted := b.calls.Load()
+				group.Wait()
+				x.Wait()
+				is.True(admitted >= tt.min)
+				is.True(admitted <= tt.max)
+			})
+		})
+	}
+}
--- a/internal/request/executor/running.go
+++ b/internal/request/executor/running.go
@@ -71,6 +71,7 @@
 	}
 	response, refusal := e.backend.Send(r.Context, r.Call, r.token)
 	e.limiter.Release(permit, refusal != nil)
+	e.applyRateLimit(response.RateLimit)
 	switch {
 	case refusal == nil && response.Status >= http.StatusInternalServerError:
 		return response, isolator.Inconclusive
@@ -88,6 +89,24 @@
 	return chivegauge.RefusalResponse(r.Call.AttemptID, refusal, 0), outcome
 }
 
+// applyRateLimit limits the rate at which calls are admitted as the backend server announced; nil changes nothing.
+func (e *executor) applyRateLimit(limit *chivegauge.RateLimit) {
+	if limit == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if *limit == e.rate {
+		return
+	}
+	e.rate = *limit
+	if limit.Limited {
+		e.limiter.SetRate(limit.PerSecond)
+		return
+	}
+	e.limiter.RemoveRate()
+}
+
 const (
 	// crashChecks is the number of times that the backend server is checked after a run was interrupted,
 	// crashCheckInterval the interval between the checks: an exiting process closes its connections before its listener.
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -58,7 +58,7 @@
 	failures         failureRate
 	interrupted      interrupted
 	probing          bool
-	rate             announcedRate
+	rate             chivegauge.RateLimit
 }
 
 // Config holds the dependencies of an executor.
@@ -104,7 +104,7 @@
 		e.failures = failureRate{}
 		e.recordCrash(now, otherProcess)
 		e.interrupted = interrupted{}
-		e.setRate(announcedRate{})
+		e.setRate(chivegauge.RateLimit{})
 	}
 	if e.reported && r.SameProcess(e.report) && e.report.Leaving {
 		r = r.WithLeaving()
