Skip odd entries in the store instead of losing the list

A record whose address, state or process time no node can have written is ignored by the registrar; one from the future at a node's own address would have wrapped its incarnation around.

The registrar's tests use addresses instead of letters; what they check is unchanged.

--- a/internal/cluster/registrar/record.go
+++ b/internal/cluster/registrar/record.go
@@ -1,8 +1,12 @@
 package registrar
 
 import (
+	"net/netip"
+	"time"
+
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/request/crashtracker"
+	"github.com/go-faster/errors"
 )
 
 // Record describes one node and its backend server; only that node writes it.
@@ -28,6 +32,26 @@
 	Leaving bool
 }
 
+// processTimeMax is how far in the future the start time of a node's process may be, by its own clock.
+const processTimeMax = 24 * time.Hour
+
+// Validate returns an error if no node can have written the record: other writers may leave entries of their own.
+func (r Record) Validate(now time.Time) error {
+	address, err := netip.ParseAddrPort(r.Member.Address)
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "address")
+	case address.Port() == 0:
+		return errors.New("the port is 0")
+	case r.Member.State < chivegauge.Alive || r.Member.State > chivegauge.Dead:
+		return errors.Errorf("state %d is unknown", r.Member.State)
+	case r.Member.Process() > uint64(now.Add(processTimeMax).UnixMilli()):
+		return errors.New("the process started in the future")
+	default:
+		return nil
+	}
+}
+
 // Newer reports whether the record replaces another one of the same address.
 func (r Record) Newer(than Record) bool {
 	if r.Member.Incarnation != than.Member.Incarnation {
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -264,6 +264,10 @@
 // mergeRecord stores a record that is newer than the stored one of its address; in the first list, a record of this
 // node's address by another process becomes the previous record.
 func (r *registrar) mergeRecord(rec Record, first bool) {
+	if err := rec.Validate(time.Now()); err != nil {
+		r.log.Warn().Err(err).Str("Address", rec.Member.Address).Msg("record of a node ignored")
+		return
+	}
 	for _, f := range r.onRecord {
 		f(rec)
 	}
@@ -289,7 +293,7 @@
 	r.mu.Unlock()
 	r.mergeRecord(rec, false)
 	r.publish()
-	if !ok && rec.Member.Address != own.Member.Address && rec.Member.State < chivegauge.Left {
+	if !ok && rec.Validate(time.Now()) == nil && rec.Member.Address != own.Member.Address && rec.Member.State < chivegauge.Left {
 		r.notify([]Record{rec}, own)
 	}
 }
--- a/internal/cluster/registrar/registrar_test.go
+++ b/internal/cluster/registrar/registrar_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -60,6 +61,13 @@
 	s.down = on
 }
 
+// The addresses of nodes.
+const (
+	nodeA = "10.0.0.1:8543"
+	nodeB = "10.0.0.2:8543"
+	nodeC = "10.0.0.3:8543"
+)
+
 // fleet is a set of nodes that notify each other of changes.
 type fleet struct {
 	store *store
@@ -146,7 +154,7 @@
 	is := is.New(t)
 	f := newFleet()
 	var nodes []registrar.Registrar
-	for _, address := range []string{"a", "b", "c"} {
+	for _, address := range []string{nodeA, nodeB, nodeC} {
 		n := f.start(t, record(address, 1))
 		nodes = append(nodes, n)
 		is.NoErr(n.Update(context.Background(), with("i-"+address, false)))
@@ -173,11 +181,11 @@
 func TestPreviousRecord(t *testing.T) {
 	is := is.New(t)
 	f := newFleet()
-	before := record("a", 1)
+	before := record(nodeA, 1)
 	before.Instance = "i-a"
 	before.Leaving = true
 	is.NoErr(f.store.Put(context.Background(), before))
-	n := f.start(t, record("a", 2))
+	n := f.start(t, record(nodeA, 2))
 	eventually(t, "the list", n.Synced)
 	previous, ok := n.Previous()
 	is.True(ok)
@@ -194,15 +202,15 @@
 func TestClockSetBack(t *testing.T) {
 	is := is.New(t)
 	f := newFleet()
-	before := record("a", chivegauge.FirstIncarnation(3000))
+	before := record(nodeA, chivegauge.FirstIncarnation(3000))
 	before.Change = 4
 	before.Instance = "i-a"
 	before.Member.State = chivegauge.Draining
 	is.NoErr(f.store.Put(context.Background(), before))
-	other := f.start(t, record("b", 1))
+	other := f.start(t, record(nodeB, 1))
 	eventually(t, "the list", other.Synced)
 	is.Equal(len(other.Service("booking")), 0)
-	n := f.start(t, record("a", chivegauge.FirstIncarnation(1000)))
+	n := f.start(t, record(nodeA, chivegauge.FirstIncarnation(1000)))
 	is.NoErr(n.Update(context.Background(), with("i-a", false)))
 	eventually(t, "the next process among the members", func() bool { return len(other.Service("booking")) == 1 })
 }
@@ -212,7 +220,7 @@
 func TestRecordIsRepaired(t *testing.T) {
 	is := is.New(t)
 	f := newFleet()
-	n := f.start(t, record("a", 1))
+	n := f.start(t, record(nodeA, 1))
 	eventually(t, "the list", n.Synced)
 	stored := func() bool {
 		list, err := f.store.List(context.Background(), false)
@@ -222,7 +230,7 @@
 	is.True(n.Update(context.Background(), with("i-a", true)) != nil)
 	f.store.setDown(false)
 	eventually(t, "the record after the outage", stored)
-	is.NoErr(f.store.Put(context.Background(), record("a", 1)))
+	is.NoErr(f.store.Put(context.Background(), record(nodeA, 1)))
 	eventually(t, "the record after a delayed write", stored)
 }
 
@@ -279,3 +287,41 @@
 		})
 	}
 }
+
+// TestOddRecords checks that records which no node can have written are ignored, and the others are not.
+func TestOddRecords(t *testing.T) {
+	odd := func(change func(r *registrar.Record)) registrar.Record {
+		r := record(nodeB, 1)
+		r.Instance = "odd"
+		change(&r)
+		return r
+	}
+	tests := map[string]registrar.Record{
+		"port out of range":  odd(func(r *registrar.Record) { r.Member.Address = "10.0.0.2:99999" }),
+		"negative port":      odd(func(r *registrar.Record) { r.Member.Address = "10.0.0.2:-1" }),
+		"port 0":             odd(func(r *registrar.Record) { r.Member.Address = "10.0.0.2:0" }),
+		"no port":            odd(func(r *registrar.Record) { r.Member.Address = "10.0.0.2" }),
+		"no address":         odd(func(r *registrar.Record) { r.Member.Address = "" }),
+		"name for address":   odd(func(r *registrar.Record) { r.Member.Address = "node-b:8543" }),
+		"unknown state":      odd(func(r *registrar.Record) { r.Member.State = 99 }),
+		"negative state":     odd(func(r *registrar.Record) { r.Member.State = -1 }),
+		"far in the future":  odd(func(r *registrar.Record) { r.Member.Incarnation = math.MaxUint64 }),
+		"own, in the future": odd(func(r *registrar.Record) { *r = record(nodeA, math.MaxUint64) }),
+	}
+	for name, r := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet()
+			f.store.records[r.Member.Address] = r
+			f.store.records[nodeC] = with("i-c", false)(record(nodeC, 1))
+			n := f.start(t, with("i-a", false)(record(nodeA, chivegauge.FirstIncarnation(time.Now().UnixMilli()))))
+			eventually(t, "the list is read", n.Synced)
+			is.Equal(n.Len(), 2)
+			is.Equal(len(n.Alive()), 2)
+			is.Equal(len(n.Service("booking")), 2)
+			n.Merge(r)
+			is.Equal(n.Len(), 2)
+			is.True(n.Self().Incarnation > 1)
+		})
+	}
+}
