Don't take a repeated refusal without an ID for the response to the next request

Reported by other operators: a faulty backend server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran. With the ID of the earlier request it was passed over already. Without an ID any response from 300 on was accepted; now only as the first response on a connection, where nothing can be repeated. Else the outcome is unknown, and the connection is closed.

TestRepeatedRefusal: "without an ID" failed before.

--- a/internal/stream/connector/conn.go
+++ b/internal/stream/connector/conn.go
@@ -37,6 +37,9 @@
 	bw          *bufio.Writer
 	idleSince   time.Time
 	idleTimeout time.Duration
+
+	// used says that a response has been read: one more may be a repetition of it.
+	used bool
 }
 
 func newConn(c *connector, nc net.Conn) *conn {
@@ -136,8 +139,8 @@
 	}
 }
 
-// readResponse reads responses up to the one to the request, identified by the attempt header; one with a status of
-// 300 or above that lacks the header is accepted too.
+// readResponse reads responses up to the one to the request, identified by the attempt header; as the first response on
+// a connection, one with a status of 300 or above that lacks the header is accepted too.
 func (k *conn) readResponse(r *streamer.Request) (*http.Response, error) {
 	attempt := k.owner.cfg.AttemptHeader
 	want := ""
@@ -158,7 +161,9 @@
 		if attempt != "" {
 			got = res.Header.Get(attempt)
 		}
-		if got == want || (got == "" && res.StatusCode >= http.StatusMultipleChoices) {
+		first := !k.used
+		k.used = true
+		if got == want || (got == "" && first && res.StatusCode >= http.StatusMultipleChoices) {
 			return res, nil
 		}
 		if got == "" {
--- a/internal/stream/connector/connector_test.go
+++ b/internal/stream/connector/connector_test.go
@@ -184,6 +184,48 @@
 	}
 }
 
+// TestRepeatedRefusal checks that a refusal of an earlier request that the peer sends once more on a kept connection is
+// not taken for the response to the next request.
+func TestRepeatedRefusal(t *testing.T) {
+	refusal := func(header string) string {
+		return "HTTP/1.1 503 Busy\r\n" + header + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	tests := map[string]struct {
+		refusal string
+		fails   bool
+	}{
+		"with the ID of the earlier request": {refusal: refusal("Attempt: 1\r\n")},
+		"without an ID":                      {refusal: refusal(""), fails: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := start(t, func(n int, r *http.Request, nc net.Conn) bool {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(nc, tt.refusal)
+				if n > 1 {
+					_, _ = io.WriteString(nc, response(r.Header.Get(attempt), "ran"))
+				}
+				return true
+			})
+			c := connect(t, b)
+			first, err := c.Exchange(context.Background(), request("1"))
+			is.NoErr(err)
+			is.Equal(first.Status, http.StatusServiceUnavailable)
+			second, err := c.Exchange(context.Background(), request("2"))
+			is.Equal(c.Dials(), uint64(1))
+			is.Equal(err != nil, tt.fails)
+			if !tt.fails {
+				is.Equal(second.Status, http.StatusOK)
+				return
+			}
+			failed := &connector.Error{}
+			is.True(errors.As(err, &failed))
+			is.True(failed.Sent) // the request may have run
+		})
+	}
+}
+
 // TestDialFailure checks that an exchange that can't connect reports the request as not sent.
 func TestDialFailure(t *testing.T) {
 	is := is.New(t)
