Bound the heads of responses and the bodies of foreign ones

The connector read a head of any size into memory, and the body of a response to another request to its end. Heads may have 64 KiB now, as for requests, and foreign bodies 1 MiB; beyond that the outcome is unknown and the connection is closed.

TestEndlessResponse: all five cases read 64 MiB before.

--- a/internal/stream/connector/conn.go
+++ b/internal/stream/connector/conn.go
@@ -26,6 +26,14 @@
 	// other requests are discarded.
 	foreignResponsesMax = 4
 
+	// headMaxBytes is the maximum size of the head of a response, and foreignBodyMaxBytes that of the body of a response
+	// to another request: a faulty peer may send either without end.
+	headMaxBytes        = 64 << 10
+	foreignBodyMaxBytes = 1 << 20
+
+	// unlimitedBytes turns the limit of an io.LimitedReader off.
+	unlimitedBytes = int64(1) << 62
+
 	// idleTimeoutShare is the fraction of the peer's idle timeout after which a connection is no longer reused.
 	idleTimeoutShare = 0.7
 )
@@ -33,6 +41,7 @@
 type conn struct {
 	owner       *connector
 	nc          net.Conn
+	limited     *io.LimitedReader
 	br          *bufio.Reader
 	bw          *bufio.Writer
 	idleSince   time.Time
@@ -43,10 +52,15 @@
 }
 
 func newConn(c *connector, nc net.Conn) *conn {
+	limited := &io.LimitedReader{
+		R: nc,
+		N: unlimitedBytes,
+	}
 	return &conn{
 		owner:       c,
 		nc:          nc,
-		br:          bufio.NewReaderSize(nc, readBufferBytes),
+		limited:     limited,
+		br:          bufio.NewReaderSize(limited, readBufferBytes),
 		bw:          bufio.NewWriterSize(nc, writeBufferBytes),
 		idleTimeout: c.cfg.IdleTimeout,
 	}
@@ -148,9 +162,7 @@
 		want = r.Header.Get(attempt)
 	}
 	for range foreignResponsesMax {
-		res, err := http.ReadResponse(k.br, &http.Request{
-			Method: r.Method,
-		})
+		res, err := k.readHead(r)
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
@@ -169,13 +181,26 @@
 		if got == "" {
 			return nil, errors.New("the answer does not say to which request it belongs")
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, foreignBodyMaxBytes))
+		if err != nil {
 			return nil, errors.Wrap(err, "pass over an answer to another request")
 		}
+		if n == foreignBodyMaxBytes {
+			return nil, errors.New("an answer to another request is too large")
+		}
 	}
 	return nil, errors.New("too many answers to other requests")
 }
 
+// readHead reads the head of a response, up to headMaxBytes.
+func (k *conn) readHead(r *streamer.Request) (*http.Response, error) {
+	k.limited.N = headMaxBytes
+	defer func() { k.limited.N = unlimitedBytes }()
+	return http.ReadResponse(k.br, &http.Request{
+		Method: r.Method,
+	})
+}
+
 // bufferBody reads the body into memory up to the configured number of bytes; a response that ends within them is known
 // to be complete, and its connection is free again before the response is returned.
 func (k *conn) bufferBody(response *streamer.Response, b *body) (*streamer.Response, error) {
--- a/internal/stream/connector/connector_test.go
+++ b/internal/stream/connector/connector_test.go
@@ -226,6 +226,45 @@
 	}
 }
 
+// TestEndlessResponse checks that a peer which sends bytes without end, in a head or in the body of a response to another
+// request, is given up on.
+func TestEndlessResponse(t *testing.T) {
+	const endBytes = 64 << 20 // well above what is read and what the sockets buffer
+	tests := map[string]string{
+		"status line":     "HTTP/1.1 200 ",
+		"no status line":  "",
+		"header":          "HTTP/1.1 200 OK\r\nX: ",
+		"headers":         "HTTP/1.1 200 OK\r\n",
+		"body of another": "HTTP/1.1 200 OK\r\nAttempt: 0\r\n\r\n",
+	}
+	for name, head := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fill := strings.Repeat("x", 1<<16)
+			if name == "headers" {
+				fill = strings.Repeat("X: y\r\n", 1<<12)
+			}
+			written := make(chan int, 1)
+			b := start(t, func(_ int, r *http.Request, nc net.Conn) bool {
+				_, _ = io.Copy(io.Discard, r.Body)
+				sent, err := io.WriteString(nc, head)
+				for err == nil && sent < endBytes {
+					n := 0
+					n, err = io.WriteString(nc, fill)
+					sent += n
+				}
+				written <- sent
+				return false
+			})
+			_, err := connect(t, b).Exchange(context.Background(), request("1"))
+			failed := &connector.Error{}
+			is.True(errors.As(err, &failed))
+			is.True(failed.Sent)
+			is.True(<-written < endBytes)
+		})
+	}
+}
+
 // TestDialFailure checks that an exchange that can't connect reports the request as not sent.
 func TestDialFailure(t *testing.T) {
 	is := is.New(t)
