--- a/internal/request/crashtracker/crashtracker.go
+++ b/internal/request/crashtracker/crashtracker.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
@@ -20,58 +18,13 @@
 	// broadcastFrom is the number of crashes from which the completion of a request is broadcast to the other nodes.
 	broadcastFrom = crashesMax - 1
 
-	// trialDelay is the time from the last crash to the trial of a refused request; it doubles with each further crash,
-	// trialDoublingsMax times.
-	trialDelay        = 10 * time.Second
-	trialDoublingsMax = 4
-
 	// retention is how long crashes count against a request.
 	retention = 5 * time.Minute
 
 	// recordsMax bounds the number of requests with counted crashes; each crash of a backend server adds a few hundred.
 	recordsMax = 20000
-
-	// batchDelay is how long a report waits for further crashes, sendTimeout bounds the sending of one report.
-	batchDelay  = 100 * time.Millisecond
-	sendTimeout = 400 * time.Millisecond
-
-	// syncInterval is the time between two reports of refused requests, each to one random node; with n nodes that refuse
-	// a request, one that doesn't receives about n reports in that time. A report has at most syncMax requests.
-	syncInterval = 500 * time.Millisecond
-	syncMax      = 256
 )
 
-// CrashReport is a report that nodes send to each other.
-type CrashReport struct {
-	// From is the address to which the receiver sends its counts where they are higher, or empty.
-	From string `json:",omitempty"`
-
-	// SentAtMs is the sender's time of day, in milliseconds since 1970; 0 in a stored report.
-	SentAtMs int64 `json:",omitempty"`
-
-	Requests Requests
-}
-
-// Requests are requests by fingerprint.
-type Requests map[uint64]Request
-
-// age returns how long before the report the last crash was; that of a stored report is relative to now.
-func (r CrashReport) age(now time.Time, q Request) time.Duration {
-	sentAtMs := r.SentAtMs
-	if sentAtMs == 0 {
-		sentAtMs = now.UnixMilli()
-	}
-	return time.Duration(max(0, sentAtMs-q.LastCrashMs)) * time.Millisecond
-}
-
-// Request is what a node knows of one request.
-type Request struct {
-	Counters
-
-	// LastCrashMs is the time of day of the last crash at the sender, in milliseconds since 1970.
-	LastCrashMs int64
-}
-
 // Members is the list of the nodes that are alive.
 type Members interface {
 	Self() chivegauge.Member
@@ -106,47 +59,6 @@
 	Serve(ctx context.Context) error
 }
 
-// Verdict is how a request is handled.
-type Verdict int
-
-// The verdicts.
-const (
-	// Unsuspected requests run like any other.
-	Unsuspected Verdict = iota
-	// Trial is the verdict for a refused request that is sent to one backend server, to find out whether it is harmless:
-	// backend servers may have crashed together for another cause.
-	Trial
-	// Quarantined requests are refused.
-	Quarantined
-)
-
-// record holds the counters of a request; lastCrash is when this node learned of the last crash, and lastTrial when it
-// last admitted the request on trial.
-type record struct {
-	counters  Counters
-	lastCrash time.Time
-	lastTrial time.Time
-}
-
-// request returns the record as it is reported.
-func (r record) request() Request {
-	return Request{
-		Counters:    r.counters,
-		LastCrashMs: r.lastCrash.UnixMilli(),
-	}
-}
-
-// Equal reports whether both say the same of the request.
-func (q Request) Equal(other Request) bool {
-	return q.Counters.Equal(other.Counters) && q.LastCrashMs == other.LastCrashMs
-}
-
-// trialDue reports whether a refused request may be tried at now.
-func (r record) trialDue(now time.Time) bool {
-	delay := trialDelay << min(trialDoublingsMax, r.counters.Sum()-crashesMax)
-	return now.Sub(r.lastCrash) >= delay && now.Sub(r.lastTrial) >= delay
-}
-
 type crashTracker struct {
 	// process identifies this process of the node in the counters.
 	process  uint64
@@ -200,33 +112,6 @@
 	return r.counters.Sum() >= crashesMax
 }
 
-// Admit returns Trial if the trial of a refused request is due and this node is the one that admits it.
-func (t *crashTracker) Admit(now time.Time, fingerprint uint64) Verdict {
-	if !t.Quarantined(now, fingerprint) {
-		return Unsuspected
-	}
-	if !t.admitsTrial(fingerprint) {
-		return Quarantined
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.records[fingerprint]
-	if !r.trialDue(now) {
-		return Quarantined
-	}
-	r.lastTrial = now
-	t.records[fingerprint] = r
-	t.log.Info().Uint64("Fingerprint", fingerprint).Int("Deaths", r.counters.Sum()).Msg("refused request sent once, on trial")
-	return Trial
-}
-
-// admitsTrial reports whether this node is the one that admits trials of the request.
-func (t *crashTracker) admitsTrial(fingerprint uint64) bool {
-	self := t.members.Self()
-	none := func(chivegauge.Member) bool { return false }
-	return chivegauge.Heaviest(self, t.members.Alive(), strconv.FormatUint(fingerprint, 10), none).Address == self.Address
-}
-
 // RecordCrash counts a crash against each of the requests.
 func (t *crashTracker) RecordCrash(now time.Time, fingerprints []uint64) {
 	t.mu.Lock()
@@ -263,11 +148,7 @@
 // evict removes the records that no longer count, and then any record of a request that isn't refused until there is
 // space for one more; t.mu is held.
 func (t *crashTracker) evict(now time.Time) {
-	for f, r := range t.records {
-		if now.Sub(r.lastCrash) > retention {
-			delete(t.records, f)
-		}
-	}
+	t.removeExpired(now)
 	for f, r := range t.records {
 		if len(t.records) < recordsMax {
 			return
@@ -278,6 +159,15 @@
 	}
 }
 
+// removeExpired removes the records that no longer count; t.mu is held.
+func (t *crashTracker) removeExpired(now time.Time) {
+	for f, r := range t.records {
+		if now.Sub(r.lastCrash) > retention {
+			delete(t.records, f)
+		}
+	}
+}
+
 // Clear clears a request, and broadcasts that it completed if other nodes refuse it or would at the next crash.
 func (t *crashTracker) Clear(now time.Time, fingerprint uint64) {
 	t.mu.Lock()
@@ -294,43 +184,6 @@
 	}
 }
 
-// Merge merges a report from another node, and sends back the counters that the sender lacks, such as after its
-// restart.
-func (t *crashTracker) Merge(now time.Time, r CrashReport) {
-	if missing := t.merge(now, r); len(missing) > 0 && r.From != "" {
-		t.group.Go(func() {
-			t.send(context.Background(), chivegauge.Member{
-				Address: r.From,
-			}, CrashReport{
-				SentAtMs: now.UnixMilli(),
-				Requests: missing,
-			})
-		})
-	}
-}
-
-// merge applies the report, and returns the counters that differ from it afterwards.
-func (t *crashTracker) merge(now time.Time, r CrashReport) Requests {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	missing := Requests{}
-	for f, reported := range r.Requests {
-		age := r.age(now, reported)
-		if age > retention {
-			continue
-		}
-		known := t.records[f].counters
-		merged := known.WithMerged(reported.Counters)
-		if !merged.Equal(known) {
-			t.setCounters(now, f, merged, now.Add(-age))
-		}
-		if !merged.Equal(reported.Counters) {
-			missing[f] = t.records[f].request()
-		}
-	}
-	return missing
-}
-
 // wakeServe makes Serve send the pending report; t.mu is held.
 func (t *crashTracker) wakeServe() {
 	select {
@@ -338,122 +191,3 @@
 	default:
 	}
 }
-
-// Serve broadcasts pending reports in batches, and reports the refused requests to one other node after the other, until
-// the context ends.
-func (t *crashTracker) Serve(ctx context.Context) error {
-	defer t.group.Wait()
-	ticker := time.NewTicker(syncInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-ticker.C:
-			refused := t.refused(now)
-			t.syncRandom(ctx, now, refused)
-			t.publish(ctx, refused)
-			continue
-		case <-t.wake:
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(batchDelay):
-		}
-		t.broadcast(ctx, t.takePending(time.Now()))
-	}
-}
-
-// takePending returns the report of the pending requests.
-func (t *crashTracker) takePending(now time.Time) CrashReport {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := CrashReport{
-		SentAtMs: now.UnixMilli(),
-		Requests: make(Requests, len(t.pending)),
-	}
-	for f := range t.pending {
-		if rec, ok := t.records[f]; ok {
-			r.Requests[f] = rec.request()
-		}
-	}
-	t.pending = map[uint64]bool{}
-	return r
-}
-
-// broadcast sends the report to each other node; one that misses it is told by syncRandom if the request is refused.
-func (t *crashTracker) broadcast(ctx context.Context, r CrashReport) {
-	r.From = t.members.Self().Address
-	for _, m := range t.otherNodes() {
-		t.group.Go(func() { t.send(ctx, m, r) })
-	}
-}
-
-func (t *crashTracker) otherNodes() []chivegauge.Member {
-	self := t.members.Self().Address
-	others := []chivegauge.Member{}
-	for _, m := range t.members.Alive() {
-		if m.Address != self {
-			others = append(others, m)
-		}
-	}
-	return others
-}
-
-// syncRandom reports the refused requests to a random node, which may have been restarted or out of reach.
-func (t *crashTracker) syncRandom(ctx context.Context, now time.Time, refused Requests) {
-	if len(refused) == 0 {
-		return
-	}
-	others := t.otherNodes()
-	if len(others) == 0 {
-		return
-	}
-	m := others[rand.IntN(len(others))]
-	r := CrashReport{
-		From:     t.members.Self().Address,
-		SentAtMs: now.UnixMilli(),
-		Requests: refused,
-	}
-	t.group.Go(func() { t.send(ctx, m, r) })
-}
-
-// publish publishes those of the refused requests whose trials this node admits, if they have changed.
-func (t *crashTracker) publish(ctx context.Context, refused Requests) {
-	own := Requests{}
-	for f, q := range refused {
-		if t.admitsTrial(f) {
-			own[f] = q
-		}
-	}
-	if maps.EqualFunc(own, t.published, Request.Equal) {
-		return
-	}
-	t.published = own
-	t.group.Go(func() { t.store.PublishRefused(ctx, own) })
-}
-
-// refused returns at most syncMax refused requests.
-func (t *crashTracker) refused(now time.Time) Requests {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	refused := Requests{}
-	for f, rec := range t.records {
-		if len(refused) == syncMax {
-			break
-		}
-		if now.Sub(rec.lastCrash) <= retention && rec.counters.Sum() >= crashesMax {
-			refused[f] = rec.request()
-		}
-	}
-	return refused
-}
-
-func (t *crashTracker) send(ctx context.Context, m chivegauge.Member, r CrashReport) {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
-	defer cancel()
-	if err := t.notifier.NotifyCrashes(ctx, m, r); err != nil {
-		t.log.Debug().Err(err).Str("Member", m.Address).Msg("node not told of deaths of backend servers")
-	}
-}
--- a/internal/request/crashtracker/crashtracker_test.go
+++ b/internal/request/crashtracker/crashtracker_test.go
@@ -106,12 +106,15 @@
 	t.Fatalf("condition not met within 5 s: %s", condition)
 }
 
-// crashReport returns a report of crashes that one other node process recognised, the last at the given time.
-func crashReport(fingerprint uint64, crashes int, last time.Time) crashtracker.CrashReport {
+// poison is the fingerprint of a request that crashes backend servers.
+const poison = uint64(7)
+
+// crashReport returns a report of crashes by poison that one other node process recognised, the last at the given time.
+func crashReport(crashes int, last time.Time) crashtracker.CrashReport {
 	return crashtracker.CrashReport{
 		SentAtMs: last.UnixMilli(),
 		Requests: crashtracker.Requests{
-			fingerprint: {
+			poison: {
 				Counters: crashtracker.Counters{
 					Crashes: map[uint64]int{
 						1: crashes,
@@ -125,7 +128,6 @@
 
 // TestRefuses checks after how many crashes one node refuses a request.
 func TestRefuses(t *testing.T) {
-	const poison = uint64(7)
 	tests := map[string]struct {
 		crashes   []time.Duration // after the start
 		completed int             // before this crash, 0 for never
@@ -166,7 +168,7 @@
 func TestCrashesAtDifferentNodes(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t)
-	const poison, popular = uint64(7), uint64(8)
+	const popular = uint64(8)
 	refused := func(fingerprint uint64, want bool) func() bool {
 		return func() bool {
 			for _, n := range c.nodes {
@@ -197,9 +199,8 @@
 func TestCountsSentAfterRestart(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t)
-	const poison = uint64(7)
 	for _, address := range []string{"a", "b"} {
-		c.nodes[address].Merge(start, crashReport(poison, 4, start))
+		c.nodes[address].Merge(start, crashReport(4, start))
 	}
 	c.nodes["c"].RecordCrash(start, []uint64{poison})
 	eventually(t, "refused at the node with the lower count", func() bool { return c.nodes["c"].Quarantined(start, poison) })
@@ -210,7 +211,6 @@
 // are all counted.
 func TestConcurrentCrashesAreAdded(t *testing.T) {
 	c := newCluster(t)
-	const poison = uint64(7)
 	for _, n := range c.nodes {
 		n.RecordCrash(start, []uint64{poison})
 	}
@@ -223,18 +223,17 @@
 // a crash doesn't count again after the request completed.
 func TestReportsOvertakeEachOther(t *testing.T) {
 	is := is.New(t)
-	const poison = uint64(7)
 	s := newCluster(t).nodes["a"]
 	for _, n := range []int{2, 1, 2, 2} {
-		s.Merge(start, crashReport(poison, n, start))
+		s.Merge(start, crashReport(n, start))
 		is.True(!s.Quarantined(start, poison))
 	}
-	s.Merge(start, crashReport(poison, 3, start))
+	s.Merge(start, crashReport(3, start))
 	is.True(s.Quarantined(start, poison))
 	s.Clear(start, poison)
-	s.Merge(start, crashReport(poison, 3, start))
+	s.Merge(start, crashReport(3, start))
 	is.True(!s.Quarantined(start, poison))
-	s.Merge(start, crashReport(poison, 6, start))
+	s.Merge(start, crashReport(6, start))
 	is.True(s.Quarantined(start, poison))
 }
 
@@ -243,10 +242,9 @@
 func TestTrials(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t)
-	const poison = uint64(7)
 	crash := func(at time.Time, crashes int) {
 		for _, n := range c.nodes {
-			n.Merge(at, crashReport(poison, crashes, at))
+			n.Merge(at, crashReport(crashes, at))
 		}
 	}
 	trials := func(at time.Time) int {
@@ -280,9 +278,8 @@
 // learns which requests the others refuse, and which of them completed.
 func TestRestartedNodeRefuses(t *testing.T) {
 	c := newCluster(t)
-	const poison = uint64(7)
 	now := time.Now()
-	c.nodes["a"].Merge(now, crashReport(poison, 3, start))
+	c.nodes["a"].Merge(now, crashReport(3, start))
 	eventually(t, "refused at the other nodes", func() bool {
 		return c.nodes["b"].Quarantined(start, poison) && c.nodes["c"].Quarantined(start, poison)
 	})
@@ -294,10 +291,9 @@
 // other nodes report it.
 func TestReportsDoNotProlongRefusals(t *testing.T) {
 	is := is.New(t)
-	const poison = uint64(7)
 	s := newCluster(t).nodes["a"]
 	for _, after := range []time.Duration{0, 4 * time.Minute, 6 * time.Minute} {
-		r := crashReport(poison, 3, start)
+		r := crashReport(3, start)
 		r.SentAtMs = start.Add(after).UnixMilli()
 		s.Merge(start.Add(after), r)
 		is.Equal(s.Quarantined(start.Add(after), poison), after < 5*time.Minute)
@@ -308,9 +304,8 @@
 // what is published refuse it, and that it is no longer published once it completed.
 func TestRefusedAfterRestartOfAllNodes(t *testing.T) {
 	is := is.New(t)
-	const poison = uint64(7)
 	c := newCluster(t)
-	c.nodes["a"].Merge(start, crashReport(poison, 3, start))
+	c.nodes["a"].Merge(start, crashReport(3, start))
 	eventually(t, "published", func() bool { return len(c.stored()) == 1 })
 	publishers := 0
 	c.mu.Lock()
