--- a/internal/stream/executor/crash.go
+++ b/internal/stream/executor/crash.go
@@ -39,6 +39,14 @@
 	otherInstance evidence = "response of another backend server"
 )
 
+// checkQuarantine returns a refusal if backend servers crashed while they ran the request, unless it is on trial.
+func (e *executor) checkQuarantine(now time.Time, c chivegauge.Call, r *streamer.Request) *chivegauge.Refusal {
+	if c.Trial || e.CrashTracker.Empty() || !e.CrashTracker.Quarantined(now, r.Fingerprint(c.Workspace, c.Route)) {
+		return nil
+	}
+	return chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request")
+}
+
 // interrupted holds the requests that were interrupted since the backend server last responded, and those for which a
 // crash of its current process was counted already.
 type interrupted struct {
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -223,8 +223,8 @@
 	if _, refusal := e.checkBackend(time.Now(), c.Service); refusal != nil {
 		return streamer.RefusalResponse(refusal)
 	}
-	if !c.Trial && !e.CrashTracker.Empty() && e.CrashTracker.Quarantined(time.Now(), r.Fingerprint(c.Workspace, c.Route)) {
-		return streamer.RefusalResponse(chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request"))
+	if refusal := e.checkQuarantine(time.Now(), c, r); refusal != nil {
+		return streamer.RefusalResponse(refusal)
 	}
 	held, refusal := e.acquire(ctx, c)
 	if refusal != nil {
@@ -232,6 +232,9 @@
 	}
 	now := time.Now()
 	report, refusal := e.checkBackend(now, c.Service)
+	if refusal == nil {
+		refusal = e.checkQuarantine(now, c, r)
+	}
 	if refusal == nil && c.Budget(now) <= 0 {
 		refusal = chivegauge.Refuse(chivegauge.CodeDeadline, "the deadline has passed")
 	}
