--- a/internal/stream/forwarder/attempts.go
+++ b/internal/stream/forwarder/attempts.go
@@ -25,14 +25,9 @@
 	if refusal := f.prepare(ctx, c, r); refusal != nil {
 		return streamer.RefusalResponse(refusal), nil
 	}
-	if !f.CrashTracker.Empty() {
-		switch f.CrashTracker.Admit(time.Now(), r.Fingerprint(c.Workspace, c.Route)) {
-		case crashtracker.Quarantined:
-			return streamer.RefusalResponse(chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request")), nil
-		case crashtracker.Trial:
-			c = c.WithTrial()
-		case crashtracker.Unsuspected:
-		}
+	c, refusal := f.admitSuspect(c, r)
+	if refusal != nil {
+		return streamer.RefusalResponse(refusal), nil
 	}
 	t := &attempts{}
 	for {
@@ -52,8 +47,24 @@
 	return t.result(c), t.tried
 }
 
-// prepare reads a small body into memory. A request that isn't idempotent waits until the responses to all earlier requests on its connection have been written
-// or discarded.
+// admitSuspect returns a refusal if backend servers have crashed while they ran the request; if it is due for a trial, it
+// returns the call on trial.
+func (f *forwarder) admitSuspect(c chivegauge.Call, r *streamer.Request) (chivegauge.Call, *chivegauge.Refusal) {
+	if f.CrashTracker.Empty() {
+		return c, nil
+	}
+	switch f.CrashTracker.Admit(time.Now(), r.Fingerprint(c.Workspace, c.Route)) {
+	case crashtracker.Quarantined:
+		return c, chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request")
+	case crashtracker.Trial:
+		return c.WithTrial(), nil
+	default:
+		return c, nil
+	}
+}
+
+// prepare reads a small body into memory. A request that isn't idempotent waits until the responses to all earlier
+// requests on its connection have been written or discarded.
 func (f *forwarder) prepare(ctx context.Context, c chivegauge.Call, r *streamer.Request) *chivegauge.Refusal {
 	if !c.Idempotent && r.EarlierDone != nil {
 		select {
