Keep the reports of refused requests within the bytes for control

With 256 requests a message a node would have spent up to 140 KB a second; 32 keep it at 18 of the 26 KB.

--- a/internal/request/crashtracker/sync.go
+++ b/internal/request/crashtracker/sync.go
@@ -18,7 +18,10 @@
 	// syncInterval is the time between two reports of refused requests, each to one random node; with n nodes that refuse
 	// a request, one that doesn't receives about n reports in that time. A report has at most syncMax requests.
 	syncInterval = 500 * time.Millisecond
-	syncMax      = 256
+	syncMax      = 32
+
+	// publishMax is the maximum number of refused requests of which those that this node admits to trials are published.
+	publishMax = 256
 )
 
 // Serve broadcasts pending reports in batches, and reports the refused requests to one other node after the other, until
@@ -105,11 +108,11 @@
 }
 
 // publish publishes those of the refused requests whose trials this node admits, if they have changed; if there are more
-// than syncMax refused requests, it considers those with the lowest fingerprints.
+// than publishMax refused requests, it considers those with the lowest fingerprints.
 func (t *crashTracker) publish(ctx context.Context, refused Requests) {
 	own := Requests{}
 	lowest := slices.Sorted(maps.Keys(refused))
-	for _, f := range lowest[:min(syncMax, len(lowest))] {
+	for _, f := range lowest[:min(publishMax, len(lowest))] {
 		if t.admitsTrial(f) {
 			own[f] = refused[f]
 		}
