Admit few requests before the first response after a restart

A backend server with a limit of 4.9 requests a second got 68 in 4 s, 34 are allowed: its node had been restarted, had forgotten the limit, and admitted what came until the first response. A node that has just started now admits four at once until a response says whether there is a limit, for a second at most.

The call of admitQueued that is scheduled earliest counts now; before, a later one could delay it (TestAnnouncedLimit showed it). TestProbation is new.

--- a/internal/request/concurrencylimiter/concurrencylimiter.go
+++ b/internal/request/concurrencylimiter/concurrencylimiter.go
@@ -39,6 +39,10 @@
 	SetRate(perSecond float64)
 	// RemoveRate removes that limit.
 	RemoveRate()
+	// StartProbation admits few requests at once until EndProbation, or for probationMax from the first one.
+	StartProbation()
+	// EndProbation ends the probation.
+	EndProbation()
 	// SetDraining turns draining on or off: while it is on, new requests are refused and queued ones still run.
 	SetDraining(on bool)
 }
@@ -61,7 +65,8 @@
 	running   int
 	draining  bool
 	pace      pace
-	scheduled bool // a call of admitQueued
+	nextCall  time.Time // of admitQueued, zero if none is scheduled
+	probation probation
 }
 
 // Option configures a concurrency limiter.
@@ -131,7 +136,7 @@
 			refusal: refusal,
 		}
 	}
-	if cl.running < cl.limiter.Limit() && cl.queue.Len() == 0 && cl.pace.take(now) {
+	if cl.running < cl.limit(now) && cl.queue.Len() == 0 && cl.pace.take(now) {
 		return scheduler.Item{}, nil, cl.admit(now, now)
 	}
 	cl.lastID++
@@ -183,6 +188,10 @@
 func (cl *concurrencyLimiter) admit(now, queued time.Time) decision {
 	asserter.Check(asserter.NoNewWorkWhenLeaving, !cl.draining || queued.Before(now))
 	cl.running++
+	if cl.probation.begins() {
+		cl.probation.until = now.Add(probationMax)
+		cl.scheduleAdmission(now, probationMax)
+	}
 	cl.observeWait(now, now.Sub(queued), false)
 	return decision{
 		permit: Permit{
@@ -242,9 +251,9 @@
 // admitQueued admits queued requests within the limit and the rate, and calls itself again when the rate admits the next
 // one; cl.mu is held.
 func (cl *concurrencyLimiter) admitQueued(now time.Time) {
-	for cl.queue.Len() > 0 && cl.running < cl.limiter.Limit() {
+	for cl.queue.Len() > 0 && cl.running < cl.limit(now) {
 		if wait := cl.pace.wait(now); wait > 0 {
-			cl.scheduleAdmission(wait)
+			cl.scheduleAdmission(now, wait)
 			return
 		}
 		next, expired, ok := cl.queue.Pop(now)
@@ -262,16 +271,19 @@
 	}
 }
 
-// scheduleAdmission calls admitQueued after the wait, unless a call is scheduled already; cl.mu is held.
-func (cl *concurrencyLimiter) scheduleAdmission(wait time.Duration) {
-	if cl.scheduled {
+// scheduleAdmission calls admitQueued after the wait, unless an earlier call is scheduled; cl.mu is held.
+func (cl *concurrencyLimiter) scheduleAdmission(now time.Time, wait time.Duration) {
+	at := now.Add(wait)
+	if !cl.nextCall.IsZero() && !at.Before(cl.nextCall) {
 		return
 	}
-	cl.scheduled = true
+	cl.nextCall = at
 	time.AfterFunc(wait, func() {
 		cl.mu.Lock()
 		defer cl.mu.Unlock()
-		cl.scheduled = false
+		if cl.nextCall.Equal(at) {
+			cl.nextCall = time.Time{}
+		}
 		cl.admitQueued(cl.now())
 	})
 }
@@ -301,7 +313,7 @@
 	return picker.Load{
 		Running: cl.running,
 		Waiting: cl.queue.Len(),
-		Limit:   cl.pace.concurrency(cl.limiter.Limit()),
+		Limit:   cl.pace.concurrency(cl.limit(cl.now())),
 	}
 }
 
--- a/internal/request/concurrencylimiter/pace_test.go
+++ b/internal/request/concurrencylimiter/pace_test.go
@@ -127,3 +127,46 @@
 		is.True(other.admitted.Load() >= 60)
 	})
 }
+
+// TestProbation checks that few requests are admitted before the first response, and all afterwards.
+func TestProbation(t *testing.T) {
+	tests := map[string]struct {
+		wait  time.Duration // from the first request
+		end   bool
+		least int
+		most  int
+	}{
+		"at first":       {least: 4, most: 4},
+		"response":       {end: true, least: 20, most: 20},
+		"no response":    {wait: 900 * time.Millisecond, least: 4, most: 4},
+		"not for longer": {wait: 1100 * time.Millisecond, least: 20, most: 20},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				cl := concurrencylimiter.New(time.Now, limiter.NewStatic(slots), scheduler.New(slots), concurrencylimiter.WithMaxWait(time.Minute))
+				cl.StartProbation()
+				time.Sleep(time.Hour) // before the first request
+				ctx, cancel := context.WithCancel(context.Background())
+				group := sync.WaitGroup{}
+				for range 20 {
+					group.Go(func() {
+						_, _ = cl.Acquire(ctx, chivegauge.Call{
+							Deadline: time.Now().Add(time.Minute),
+						})
+					})
+				}
+				time.Sleep(tt.wait)
+				synctest.Wait()
+				if tt.end {
+					cl.EndProbation()
+				}
+				is.True(cl.Load().Running >= tt.least)
+				is.True(cl.Load().Running <= tt.most)
+				cancel()
+				group.Wait()
+			})
+		})
+	}
+}
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -85,6 +85,7 @@
 
 // New returns an executor that refuses all requests until the backend server reports.
 func New(cfg Config) Executor {
+	cfg.Limiter.StartProbation()
 	return &executor{
 		Config: cfg,
 	}
@@ -251,6 +252,7 @@
 	}
 	if response.Status != http.StatusMisdirectedRequest {
 		e.applyAnnouncements(time.Now(), response.Header, report)
+		e.Limiter.EndProbation()
 	}
 	e.recordResponse(now, response, c, r)
 	response.OnRelease(func() { e.Correlator.End(id) })
