Admit few calls before the first response after a restart, in the first interface too

The same cause as in the streaming node: a node that was restarted had forgotten the limit that its backend server announced. TestFewCallsBeforeFirstResponse failed before (20 calls sent at once).

--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -83,6 +83,7 @@
 // New returns an executor for the service; cancelGrace is how long a run that no sender waits for continues before it
 // is cancelled.
 func New(service string, now concurrencylimiter.Clock, cl concurrencylimiter.ConcurrencyLimiter, b Backend, t tracker.Tracker, cancelGrace time.Duration) Executor {
+	cl.StartProbation()
 	return &executor{
 		service:     service,
 		now:         now,
--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -248,3 +248,45 @@
 		})
 	}
 }
+
+// blocked is a backend server that responds once it is released.
+type blocked struct {
+	calls   atomic.Int64
+	release chan struct{}
+}
+
+func (b *blocked) Up() bool { return true }
+
+func (b *blocked) Send(context.Context, chivegauge.Call, string) (chivegauge.Response, *chivegauge.Refusal) {
+	b.calls.Add(1)
+	<-b.release
+	return chivegauge.Response{
+		Status: http.StatusOK,
+	}, nil
+}
+
+// TestFewCallsBeforeFirstResponse checks that a node that has just started sends few calls at once until a response says
+// whether there is a limit.
+func TestFewCallsBeforeFirstResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &blocked{
+			release: make(chan struct{}),
+		}
+		cl := concurrencylimiter.New(time.Now, limiter.NewStatic(100), scheduler.New(100))
+		x := executor.New("booking", time.Now, cl, b, tracker.New(time.Minute, 100, 1000), time.Second)
+		x.Attach(nil, isolator.New(time.Now, singleNode{}, singleNode{}))
+		group := sync.WaitGroup{}
+		for n := range uint64(20) {
+			group.Go(func() { x.Execute(context.Background(), call(n+1)) })
+		}
+		synctest.Wait()
+		is.Equal(b.calls.Load(), int64(4))
+		b.release <- struct{}{}
+		synctest.Wait()
+		is.Equal(b.calls.Load(), int64(20))
+		close(b.release)
+		group.Wait()
+		x.Wait()
+	})
+}
--- a/internal/request/executor/running.go
+++ b/internal/request/executor/running.go
@@ -71,7 +71,10 @@
 	}
 	response, refusal := e.backend.Send(r.Context, r.Call, r.token)
 	e.limiter.Release(permit, refusal != nil)
-	e.applyRateLimit(response.RateLimit)
+	if refusal == nil {
+		e.applyRateLimit(response.RateLimit)
+		e.limiter.EndProbation()
+	}
 	switch {
 	case refusal == nil && response.Status >= http.StatusInternalServerError:
 		return response, isolator.Inconclusive
