--- a/internal/request/crashtracker/crashtracker_test.go
+++ b/internal/request/crashtracker/crashtracker_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
@@ -328,3 +329,16 @@
 	c.nodes["b"].Clear(start, poison)
 	eventually(t, "no longer published", func() bool { return len(c.stored()) == 0 })
 }
+
+// TestCrashIsReportedAtOnce checks that the other nodes learn of a crash before its node can be killed, not a batch later.
+func TestCrashIsReportedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		synctest.Wait()
+		c.nodes["a"].RecordCrash(start, []uint64{poison})
+		synctest.Wait() // no time passes
+		is.True(!c.nodes["b"].Empty())
+		is.True(!c.nodes["c"].Empty())
+	})
+}
--- a/internal/request/crashtracker/sync.go
+++ b/internal/request/crashtracker/sync.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// batchDelay is how long a report waits for further crashes, sendTimeout bounds the sending of one report.
+	// batchDelay is the time between two broadcasts, sendTimeout bounds the sending of one report.
 	batchDelay  = 100 * time.Millisecond
 	sendTimeout = 400 * time.Millisecond
 
@@ -24,8 +24,8 @@
 	publishMax = 256
 )
 
-// Serve broadcasts pending reports in batches, and reports the refused requests to one other node after the other, until
-// the context ends.
+// Serve broadcasts a pending report at once, since the node may be killed next, and further ones in batches. It reports
+// the refused requests to one other node after the other, until the context ends.
 func (t *crashTracker) Serve(ctx context.Context) error {
 	defer t.group.Wait()
 	ticker := time.NewTicker(syncInterval)
@@ -41,12 +41,12 @@
 			continue
 		case <-t.wake:
 		}
+		t.broadcast(ctx, t.takePending(time.Now()))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(batchDelay):
 		}
-		t.broadcast(ctx, t.takePending(time.Now()))
 	}
 }
 
