Count a crash that took the node beside the backend server along

Cause: only the node beside a backend server counted its crash.

Change: the node that sent the request remembers it when the other node breaks off, and counts a crash if that node reports another process of the backend server within 10 s. Crashes are counted by the process that crashed instead of by the node that saw it, so that several nodes that see one crash count it once.

--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -132,6 +132,7 @@
 	executor       executor.Executor
 	clusterLimiter clusterlimiter.ClusterLimiter
 	crashTracker   crashtracker.CrashTracker
+	witness        crashtracker.Witness
 	callerAcceptor acceptor.Acceptor
 	peerAcceptor   acceptor.Acceptor
 	stopping       chan struct{}
@@ -189,6 +190,10 @@
 	n.clusterLimiter = clusterlimiter.New(timekeeper.Now, n.members, c, initial)
 	n.crashTracker = crashtracker.New(n.members, c, n, n.log)
 	n.members.SubscribeRecords(n.mergeRefused)
+	n.witness = crashtracker.NewWitness(n.crashTracker, n.members)
+	n.members.SubscribeChanges(func(rec registrar.Record) {
+		n.witness.ApplyProcess(time.Now(), rec.Member.Address, rec.Process())
+	})
 	n.config.Subscribe(func(r router.Router) { n.clusterLimiter.Configure(r.Workspaces()) })
 	n.members.Subscribe(n.clusterLimiter.Resize)
 }
@@ -223,7 +228,7 @@
 			IdleTimeout:     peerIdleTimeout,
 			AttemptHeader:   s.Names.Attempt,
 			BodyBufferBytes: bodyBufferBytes,
-		}),
+		}, n.witness),
 		Picker:               picker.New(s.Member.Zone, s.Member.Region),
 		Correlator:           corr,
 		CrashTracker:         n.crashTracker,
--- a/internal/cluster/registrar/record.go
+++ b/internal/cluster/registrar/record.go
@@ -32,6 +32,14 @@
 	Leaving bool
 }
 
+// Process returns the process of the backend server that reported last.
+func (r Record) Process() crashtracker.BackendProcess {
+	return crashtracker.BackendProcess{
+		Instance:    r.Instance,
+		StartedAtMs: r.StartedAtMs,
+	}
+}
+
 // processTimeMax is how far in the future the start time of a node's process may be, by its own clock.
 const processTimeMax = 24 * time.Hour
 
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -9,6 +9,7 @@
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
+	"github.com/chivegauge/chivegauge/internal/request/crashtracker"
 	"github.com/rs/zerolog"
 )
 
@@ -64,6 +65,8 @@
 	Len() int
 	// Previous returns the record that an earlier process wrote at this address, or false if there was none.
 	Previous() (Record, bool)
+	// BackendProcess returns the process of the backend server beside another node that reported last.
+	BackendProcess(address string) crashtracker.BackendProcess
 	// Update changes the record of this node, notifies the other nodes and writes it; the error is that of the write.
 	Update(ctx context.Context, f func(Record) Record) error
 	// Merge stores the record of another node if it is newer.
@@ -74,6 +77,8 @@
 	Subscribe(f func(n int))
 	// SubscribeRecords registers a function that is called with each record that is read or received.
 	SubscribeRecords(f func(rec Record))
+	// SubscribeChanges registers a function that is called with each record that replaces an older one.
+	SubscribeChanges(f func(rec Record))
 }
 
 type registrar struct {
@@ -83,6 +88,7 @@
 	log         zerolog.Logger
 	subscribers []func(n int)
 	onRecord    []func(rec Record)
+	onChange    []func(rec Record)
 	byService   atomic.Pointer[map[string][]chivegauge.Member]
 	alive       atomic.Pointer[[]chivegauge.Member]
 	synced      atomic.Bool
@@ -114,14 +120,11 @@
 	return r
 }
 
-// Subscribe registers a function; it must be called before Serve.
-func (r *registrar) Subscribe(f func(n int)) {
-	r.subscribers = append(r.subscribers, f)
-}
-
-// SubscribeRecords registers a function; it must be called before Serve.
-func (r *registrar) SubscribeRecords(f func(rec Record)) {
-	r.onRecord = append(r.onRecord, f)
+// BackendProcess returns the process of the backend server beside another node that reported last.
+func (r *registrar) BackendProcess(address string) crashtracker.BackendProcess {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.records[address].Process()
 }
 
 // Synced reports whether the list has been read at least once.
@@ -271,18 +274,30 @@
 	for _, f := range r.onRecord {
 		f(rec)
 	}
+	if !r.replace(rec, first) {
+		return
+	}
+	for _, f := range r.onChange {
+		f(rec)
+	}
+}
+
+// replace stores the record of another node if it is newer, and reports whether it is; first says that it was read when
+// this node started.
+func (r *registrar) replace(rec Record, first bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if rec.Member.Address == r.own.Member.Address {
 		if first && rec.Member.Incarnation != r.own.Member.Incarnation {
 			r.previous = &rec
 		}
-		return
+		return false
 	}
 	if old, ok := r.records[rec.Member.Address]; ok && !rec.Newer(old) {
-		return
+		return false
 	}
 	r.records[rec.Member.Address] = rec
+	return true
 }
 
 // Merge stores the record of another node; a node that was unknown before is sent the record of this node.
@@ -377,21 +392,3 @@
 	defer cancel()
 	return r.store.Delete(ctx, r.Self().Address)
 }
-
-func (r *registrar) logFailure(err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.failing {
-		r.failing = true
-		r.log.Warn().Err(err).Int("Nodes", len(r.records)+1).Msg("list of nodes lost")
-	}
-}
-
-func (r *registrar) logRecovery() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.failing {
-		r.failing = false
-		r.log.Info().Int("Nodes", len(r.records)+1).Msg("list of nodes regained")
-	}
-}
--- a/internal/request/crashtracker/counters.go
+++ b/internal/request/crashtracker/counters.go
@@ -2,10 +2,11 @@
 
 import "maps"
 
-// Counters count the crashes of backend servers that ran one request, by the node process that recognised them. Each
-// counter only grows, so that nodes that merge the same counters in any order, and any number of times, agree.
+// Counters count the crashes of backend servers that ran one request, by the ID of the crashed process: several nodes
+// may recognise the same crash. Each counter only grows, so that nodes that merge the same counters in any order, and any
+// number of times, agree.
 type Counters struct {
-	// Crashes is the number of crashes that each node process recognised.
+	// Crashes is the number of crashes of each process; nodes of earlier versions counted by the node that recognised them.
 	Crashes map[uint64]int
 
 	// Cleared is the number of those crashes that no longer count, because the request completed after them.
@@ -21,11 +22,11 @@
 	return sum
 }
 
-// WithCrash returns the counters with one more crash, recognised by the node process.
-func (c Counters) WithCrash(process uint64) Counters {
+// WithCrash returns the counters with the crash of the process, which crashes only once.
+func (c Counters) WithCrash(p BackendProcess) Counters {
 	return c.WithMerged(Counters{
 		Crashes: map[uint64]int{
-			process: c.Crashes[process] + 1,
+			p.id(): 1,
 		},
 	})
 }
--- a/internal/request/crashtracker/crashtracker.go
+++ b/internal/request/crashtracker/crashtracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -49,8 +48,9 @@
 	Admit(now time.Time, fingerprint uint64) Verdict
 	// Empty reports whether no crashes are counted, so that callers needn't compute fingerprints.
 	Empty() bool
-	// RecordCrash counts a crash of a backend server against the requests that it ran, which are distinct.
-	RecordCrash(now time.Time, fingerprints []uint64)
+	// RecordCrash counts the crash of a process of a backend server against the requests that it ran; a crash that was
+	// counted already changes nothing.
+	RecordCrash(now time.Time, p BackendProcess, fingerprints []uint64)
 	// Clear clears a request that completed.
 	Clear(now time.Time, fingerprint uint64)
 	// Merge merges a report from another node.
@@ -60,8 +60,6 @@
 }
 
 type crashTracker struct {
-	// process identifies this process of the node in the counters.
-	process  uint64
 	members  Members
 	notifier Notifier
 	store    Publisher
@@ -82,7 +80,6 @@
 // New returns a crash tracker without counted crashes.
 func New(m Members, n Notifier, p Publisher, log zerolog.Logger) CrashTracker {
 	return &crashTracker{
-		process:  rand.Uint64(),
 		members:  m,
 		notifier: n,
 		store:    p,
@@ -113,11 +110,16 @@
 }
 
 // RecordCrash counts a crash against each of the requests.
-func (t *crashTracker) RecordCrash(now time.Time, fingerprints []uint64) {
+func (t *crashTracker) RecordCrash(now time.Time, p BackendProcess, fingerprints []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, f := range fingerprints {
-		t.setCounters(now, f, t.records[f].counters.WithCrash(t.process), now)
+		known := t.records[f].counters
+		c := known.WithCrash(p)
+		if c.Equal(known) {
+			continue
+		}
+		t.setCounters(now, f, c, now)
 		t.pending[f] = true
 	}
 	t.wakeServe()
--- a/internal/request/crashtracker/crashtracker_test.go
+++ b/internal/request/crashtracker/crashtracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -107,6 +108,13 @@
 	t.Fatalf("condition not met within 5 s: %s", condition)
 }
 
+func backendProcess(instance string) crashtracker.BackendProcess {
+	return crashtracker.BackendProcess{
+		Instance:    instance,
+		StartedAtMs: 1,
+	}
+}
+
 // poison is the fingerprint of a request that crashes backend servers.
 const poison = uint64(7)
 
@@ -153,7 +161,7 @@
 					s.Clear(last, poison)
 				}
 				last = start.Add(after)
-				s.RecordCrash(last, []uint64{poison, uint64(100 + n)})
+				s.RecordCrash(last, backendProcess(strconv.Itoa(n)), []uint64{poison, uint64(100 + n)})
 			}
 			if tt.completed == len(tt.crashes) {
 				s.Clear(last, poison)
@@ -183,7 +191,7 @@
 	at := start
 	sent := int64(2)
 	for _, address := range []string{"a", "b", "c"} {
-		c.nodes[address].RecordCrash(at, []uint64{poison, popular})
+		c.nodes[address].RecordCrash(at, backendProcess(address), []uint64{poison, popular})
 		at = at.Add(2 * time.Second)
 		eventually(t, "both other nodes received the report", func() bool { return c.received.Load() == sent })
 		sent += 2
@@ -203,7 +211,7 @@
 	for _, address := range []string{"a", "b"} {
 		c.nodes[address].Merge(start, crashReport(4, start))
 	}
-	c.nodes["c"].RecordCrash(start, []uint64{poison})
+	c.nodes["c"].RecordCrash(start, backendProcess("c"), []uint64{poison})
 	eventually(t, "refused at the node with the lower count", func() bool { return c.nodes["c"].Quarantined(start, poison) })
 	is.True(c.nodes["a"].Quarantined(start, poison))
 }
@@ -212,8 +220,8 @@
 // are all counted.
 func TestConcurrentCrashesAreAdded(t *testing.T) {
 	c := newCluster(t)
-	for _, n := range c.nodes {
-		n.RecordCrash(start, []uint64{poison})
+	for address, n := range c.nodes {
+		n.RecordCrash(start, backendProcess(address), []uint64{poison})
 	}
 	for address, n := range c.nodes {
 		eventually(t, "refused at "+address, func() bool { return n.Quarantined(start, poison) })
@@ -336,7 +344,7 @@
 		is := is.New(t)
 		c := newCluster(t)
 		synctest.Wait()
-		c.nodes["a"].RecordCrash(start, []uint64{poison})
+		c.nodes["a"].RecordCrash(start, backendProcess("a"), []uint64{poison})
 		synctest.Wait() // no time passes
 		is.True(!c.nodes["b"].Empty())
 		is.True(!c.nodes["c"].Empty())
--- /dev/null
+++ b/internal/request/crashtracker/witness_test.go
@@ -0,0 +1,99 @@
+package crashtracker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge/internal/request/crashtracker"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// processes are the processes of the backend servers by the addresses of their nodes.
+type processes map[string]crashtracker.BackendProcess
+
+func (p processes) BackendProcess(address string) crashtracker.BackendProcess {
+	return p[address]
+}
+
+// TestWitness checks which requests a node counts as crashing a backend server whose node broke off; two crashes were
+// counted before.
+func TestWitness(t *testing.T) {
+	const address = "b"
+	tests := map[string]struct {
+		interrupted string // process of the backend server, empty if it is not known
+		next        []string
+		after       time.Duration
+		refused     bool
+	}{
+		"another process":                  {interrupted: "i-1", next: []string{"i-2"}, refused: true},
+		"another process, some time later": {interrupted: "i-1", next: []string{"i-2"}, after: 8 * time.Second, refused: true},
+		"another process, much later":      {interrupted: "i-1", next: []string{"i-2"}, after: 11 * time.Second},
+		"same process":                     {interrupted: "i-1", next: []string{"i-1"}},
+		"same process, then another":       {interrupted: "i-1", next: []string{"i-1", "i-2"}, refused: true},
+		"no process yet":                   {interrupted: "i-1", next: []string{""}},
+		"no process yet, then another":     {interrupted: "i-1", next: []string{"", "i-2"}, refused: true},
+		"process not known":                {next: []string{"i-2"}},
+		"crash counted already":            {interrupted: "0", next: []string{"i-2"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t)
+			v := view{
+				cluster: c,
+				self:    address,
+			}
+			tracker := crashtracker.New(v, v, v, zerolog.Nop())
+			tracker.RecordCrash(start, backendProcess("0"), []uint64{poison})
+			tracker.RecordCrash(start, backendProcess("1"), []uint64{poison})
+			w := crashtracker.NewWitness(tracker, processes{
+				address: backendProcess(tt.interrupted),
+			})
+			w.RecordInterrupted(start, address, poison)
+			for _, next := range tt.next {
+				w.ApplyProcess(start.Add(tt.after), address, backendProcess(next))
+				w.ApplyProcess(start.Add(tt.after), "another", backendProcess("i-3"))
+			}
+			is.Equal(tracker.Quarantined(start, poison), tt.refused)
+		})
+	}
+}
+
+// TestWitnessIsBounded checks that a node keeps a limited number of requests, and that those which no longer count make
+// room for others.
+func TestWitnessIsBounded(t *testing.T) {
+	const kept = 4096
+	tests := map[string]struct {
+		after   time.Duration
+		refused bool
+	}{
+		"full":                        {},
+		"full of expired ones":        {after: 11 * time.Second, refused: true},
+		"full of ones that expire":    {after: 9 * time.Second},
+		"full of long expired ones":   {after: time.Hour, refused: true},
+		"full, shortly before expiry": {after: 10*time.Second - 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := view{
+				cluster: newCluster(t),
+				self:    "a",
+			}
+			tracker := crashtracker.New(v, v, v, zerolog.Nop())
+			now := start.Add(tt.after)
+			tracker.RecordCrash(now, backendProcess("0"), []uint64{poison})
+			tracker.RecordCrash(now, backendProcess("1"), []uint64{poison})
+			w := crashtracker.NewWitness(tracker, processes{
+				"b": backendProcess("i-1"),
+			})
+			for f := range uint64(kept) {
+				w.RecordInterrupted(start, "b", 100+f)
+			}
+			w.RecordInterrupted(now, "b", poison)
+			w.ApplyProcess(now, "b", backendProcess("i-2"))
+			is.Equal(tracker.Quarantined(now, poison), tt.refused)
+		})
+	}
+}
--- a/internal/stream/executor/crash.go
+++ b/internal/stream/executor/crash.go
@@ -134,7 +134,7 @@
 	age := now.Sub(e.interrupted.last)
 	counted := age < interruptedRetention
 	if counted {
-		e.CrashTracker.RecordCrash(now, requests)
+		e.CrashTracker.RecordCrash(now, e.report.process(), requests)
 		if e.interrupted.counted == nil {
 			e.interrupted.counted = map[uint64]bool{}
 		}
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -12,6 +12,7 @@
 	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/chivegauge/chivegauge/internal/request/concurrencylimiter"
 	"github.com/chivegauge/chivegauge/internal/request/correlator"
+	"github.com/chivegauge/chivegauge/internal/request/crashtracker"
 	"github.com/chivegauge/chivegauge/internal/stream/connector"
 	"github.com/chivegauge/chivegauge/internal/stream/streamer"
 	"github.com/go-faster/errors"
@@ -42,7 +43,7 @@
 type CrashTracker interface {
 	Empty() bool
 	Quarantined(now time.Time, fingerprint uint64) bool
-	RecordCrash(now time.Time, fingerprints []uint64)
+	RecordCrash(now time.Time, p crashtracker.BackendProcess, fingerprints []uint64)
 	Clear(now time.Time, fingerprint uint64)
 }
 
--- a/internal/stream/executor/executor_test.go
+++ b/internal/stream/executor/executor_test.go
@@ -11,6 +11,7 @@
 	"github.com/chivegauge/chivegauge/internal/policy/scheduler"
 	"github.com/chivegauge/chivegauge/internal/request/concurrencylimiter"
 	"github.com/chivegauge/chivegauge/internal/request/correlator"
+	"github.com/chivegauge/chivegauge/internal/request/crashtracker"
 	"github.com/chivegauge/chivegauge/internal/stream/connector"
 	"github.com/chivegauge/chivegauge/internal/stream/executor"
 	"github.com/chivegauge/chivegauge/internal/stream/streamer"
@@ -31,10 +32,13 @@
 	published []executor.Report
 }
 
-func (b *backend) Empty() bool                         { return false }
-func (b *backend) Quarantined(time.Time, uint64) bool  { return b.refuses }
-func (b *backend) RecordCrash(_ time.Time, f []uint64) { b.crashed = append(b.crashed, f...) }
-func (b *backend) Clear(_ time.Time, f uint64)         { b.survived = append(b.survived, f) }
+func (b *backend) Empty() bool                        { return false }
+func (b *backend) Quarantined(time.Time, uint64) bool { return b.refuses }
+func (b *backend) RecordCrash(_ time.Time, _ crashtracker.BackendProcess, f []uint64) {
+	b.crashed = append(b.crashed, f...)
+}
+
+func (b *backend) Clear(_ time.Time, f uint64) { b.survived = append(b.survived, f) }
 
 func (b *backend) PublishReport(r executor.Report) { b.published = append(b.published, r) }
 
--- a/internal/stream/executor/report.go
+++ b/internal/stream/executor/report.go
@@ -1,6 +1,10 @@
 package executor
 
-import "time"
+import (
+	"time"
+
+	"github.com/chivegauge/chivegauge/internal/request/crashtracker"
+)
 
 // Report is the state that a process of the backend server reports about itself.
 type Report struct {
@@ -34,6 +38,13 @@
 	return r.Instance == other.Instance && r.StartedAtMs == other.StartedAtMs
 }
 
+func (r Report) process() crashtracker.BackendProcess {
+	return crashtracker.BackendProcess{
+		Instance:    r.Instance,
+		StartedAtMs: r.StartedAtMs,
+	}
+}
+
 // WithLeaving returns a copy of the report that says that the process is leaving.
 func (r Report) WithLeaving() Report {
 	r.Leaving = true
--- a/internal/stream/transporter/transporter.go
+++ b/internal/stream/transporter/transporter.go
@@ -21,14 +21,21 @@
 	Send(ctx context.Context, m chivegauge.Member, c chivegauge.Call, r *streamer.Request) (*streamer.Response, picker.Load)
 }
 
+// Witness keeps the requests that were at a node which broke off: its backend server may have crashed with it.
+type Witness interface {
+	RecordInterrupted(now time.Time, address string, fingerprint uint64)
+}
+
 type sender struct {
-	peers *connector.Pool
+	peers   *connector.Pool
+	witness Witness
 }
 
 // New returns a transporter that has no connections yet.
-func New(cfg Config) Transporter {
+func New(cfg Config, w Witness) Transporter {
 	return &sender{
-		peers: connector.NewPool(cfg),
+		peers:   connector.NewPool(cfg),
+		witness: w,
 	}
 }
 
@@ -52,5 +59,6 @@
 		return streamer.RefusalResponse(chivegauge.RefuseMayHaveRun(chivegauge.CodeDeadline, "no answer in time")), picker.Load{}
 	}
 	p.CloseIdle()
+	s.witness.RecordInterrupted(time.Now(), m.Address, r.Fingerprint(call.Workspace, call.Route))
 	return streamer.RefusalResponse(chivegauge.RefuseMayHaveRun(chivegauge.CodeOutcomeUnknown, "the node broke off: "+err.Error())), picker.Load{}
 }
--- a/internal/stream/transporter/transporter_test.go
+++ b/internal/stream/transporter/transporter_test.go
@@ -13,6 +13,11 @@
 	"github.com/matryer/is"
 )
 
+// noWitness ignores nodes that break off.
+type noWitness struct{}
+
+func (noWitness) RecordInterrupted(time.Time, string, uint64) {}
+
 // TestNoResponse checks which refusal is returned if the context ends before the other node has responded.
 func TestNoResponse(t *testing.T) {
 	tests := map[string]struct {
@@ -33,7 +38,7 @@
 			defer cancel()
 			c := transporter.New(transporter.Config{
 				DialTimeout: time.Second,
-			})
+			}, noWitness{})
 			response, _ := c.Send(ctx, chivegauge.Member{
 				Address: unresponsive.Addr().String(),
 			}, chivegauge.Call{
