Answer each request that was handled before its connection closes

Cause: in a stop every response announced the end of its connection. The requests pipelined behind it had been passed on to backend servers, and their responses were discarded; so was that of a request whose head was being read while the last response was written, and of one behind a request with Connection: close. A request that may not be repeated was among them.

Change: while the acceptor drains, the response to the last request in flight ends the connection; once that is decided, no further request is handled. Finish stops the handling of requests that were not read yet.

Test: TestDrainAnswersPipelinedRequests and TestNothingIsHandledBehindTheLastResponse failed before (the first response closed; two requests handled, one answered).

--- a/internal/stream/acceptor/acceptor.go
+++ b/internal/stream/acceptor/acceptor.go
@@ -42,8 +42,10 @@
 type Acceptor interface {
 	// Serve accepts connections from l until l is closed, and then returns nil; open connections continue to be served.
 	Serve(ctx context.Context, l net.Listener) error
-	// Drain makes every later response close its connection.
+	// Drain makes the response to the last request in flight of each connection close it.
 	Drain()
+	// Finish does the same, and handles no request that has not been read yet.
+	Finish()
 	// CloseIdle closes the connections on which no request is being read or handled.
 	CloseIdle()
 	// InFlight returns the number of requests in flight.
@@ -53,11 +55,12 @@
 }
 
 type acceptor struct {
-	handler  Handler
-	limits   func() Limits
-	draining atomic.Bool
-	inFlight atomic.Int64
-	group    sync.WaitGroup
+	handler   Handler
+	limits    func() Limits
+	draining  atomic.Bool
+	finishing atomic.Bool
+	inFlight  atomic.Int64
+	group     sync.WaitGroup
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -96,11 +99,18 @@
 	}
 }
 
-// Drain makes every later response close its connection.
+// Drain makes the response to the last request in flight of each connection close it: the requests behind it were
+// handled, too, and get their responses.
 func (a *acceptor) Drain() {
 	a.draining.Store(true)
 }
 
+// Finish drains, and leaves requests that have not been read to the callers, who may send them elsewhere.
+func (a *acceptor) Finish() {
+	a.finishing.Store(true)
+	a.Drain()
+}
+
 // CloseIdle closes the connections on which no request is being read or handled.
 func (a *acceptor) CloseIdle() {
 	a.mu.Lock()
--- a/internal/stream/acceptor/conn.go
+++ b/internal/stream/acceptor/conn.go
@@ -90,6 +90,10 @@
 	earlierDone := (<-chan struct{})(first)
 	for c.awaitRequest() {
 		x, err := c.readRequest(earlierDone)
+		if errors.Is(err, errClosing) {
+			c.drainInput()
+			break
+		}
 		if err != nil {
 			c.reject(earlierDone, err)
 			break
@@ -102,10 +106,10 @@
 			case <-x.body.done:
 			case <-x.done:
 			}
-			if x.body.unread() {
-				c.drainInput()
-				break
-			}
+		}
+		if x.closeAfter || x.body.unread() {
+			c.drainInput()
+			break
 		}
 	}
 	cancel()
@@ -142,11 +146,11 @@
 	return true
 }
 
-// startReading marks that a request is being read, and returns false if the connection is closing.
+// startReading marks that a request is being read, and returns false if no further request is handled.
 func (c *conn) startReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state.closing {
+	if c.state.closing || c.owner.finishing.Load() {
 		return false
 	}
 	c.state.reading = true
@@ -169,8 +173,11 @@
 	_ = c.nc.SetReadDeadline(deadline)
 }
 
+// errClosing is returned for a request that is not handled because the connection is closing.
+var errClosing = errors.New("the connection is closing")
+
 // readRequest parses the next request and counts it as in flight; the error is a *rejection if it exceeds a limit or
-// has an unsupported version.
+// has an unsupported version, and errClosing if an earlier response has announced the end of the connection meanwhile.
 func (c *conn) readRequest(earlierDone <-chan struct{}) (*exchange, error) {
 	limits := c.owner.limits()
 	c.limited.N = int64(limits.HeaderBytes)
@@ -196,6 +203,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state.reading = false
+	if c.state.closing || c.owner.finishing.Load() {
+		return nil, errClosing
+	}
 	c.state.inFlight++
 	c.owner.inFlight.Add(1)
 	c.setReadDeadline()
@@ -268,6 +278,10 @@
 		status = r.status
 	}
 	<-earlierDone
+	if !c.close() {
+		c.drainInput()
+		return
+	}
 	response := streamer.RefusalResponse(chivegauge.Refuse(chivegauge.CodeBadRequest, err.Error()))
 	response.Status = status
 	_ = encoder.WriteResponse(c.bw, response, false, true)
@@ -288,22 +302,39 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &ne)
 }
 
-// handle runs the handler and writes the response after those to all earlier requests; it writes none if the connection
-// is closing or the caller has disconnected.
+// close marks the connection as closing, and returns false if it was.
+func (c *conn) close() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	closing := c.state.closing
+	c.state.closing = true
+	return !closing
+}
+
+// endsConnection reports whether the response to x is the last one of the connection, and marks the connection as closing
+// if it is, so that no request is handled that would get no response.
+func (c *conn) endsConnection(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if x.closeAfter || x.body.unread() || (c.owner.draining.Load() && c.state.inFlight == 1) {
+		c.state.closing = true
+	}
+	return c.state.closing
+}
+
+// handle runs the handler and writes the response after those to all earlier requests; it writes none if the caller has
+// disconnected.
 func (c *conn) handle(ctx context.Context, x *exchange) {
 	response := c.owner.handler.Handle(ctx, x.request)
 	defer response.Release()
 	defer close(x.done)
 	defer c.owner.inFlight.Add(-1)
 	<-x.earlierDone
-	c.mu.Lock()
-	closing := c.state.closing
-	c.mu.Unlock()
-	if closing || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		c.finish(false)
 		return
 	}
-	closeAfter := x.closeAfter || c.owner.draining.Load() || x.body.unread()
+	closeAfter := c.endsConnection(x)
 	err := encoder.WriteResponse(c.bw, response, x.headOnly, closeAfter)
 	if err == nil && response.Body != nil && !x.headOnly {
 		err = encoder.WriteBody(c.bw, response.Body, response.Length)
