Count a crash whose node was killed after it had answered for it

Its logs: the node beside the backend server answered other nodes that the backend server broke off, and was killed 40 ms later, before it had noticed that the port was closed. The other nodes kept only requests whose node broke off itself.

Change: they keep these as well, and drop them once the backend server responds to a request that was sent later. A crash that the node beside the backend server counts, too, counts once.

Test: the case 'after its backend server' of TestCrashWithNodeIsCounted failed before (8 requests sent instead of 3).

--- a/internal/app/assembler/crash_test.go
+++ b/internal/app/assembler/crash_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -17,13 +18,17 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// dyingNode is a node of the service "fragile" that breaks off with each request, as if it ended with its backend server.
+// dyingNode is a node of the service "fragile" that ends with each request, as if it were killed with its backend server.
 type dyingNode struct {
 	net.Listener
 	requests chan struct{}
 }
 
-func newDyingNode(t *testing.T, group *errgroup.Group) *dyingNode {
+// brokeOff is the response of a node whose backend server broke off.
+const brokeOff = "HTTP/1.1 502 Bad Gateway\r\nChivegauge-Request: 1\r\nChivegauge-Code: OutcomeUnknown\r\nChivegauge-Run: MayHaveRun\r\nContent-Length: 0\r\n\r\n"
+
+// newDyingNode starts a dying node that writes the response before it ends.
+func newDyingNode(t *testing.T, group *errgroup.Group, response string) *dyingNode {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	d := &dyingNode{
@@ -39,6 +44,7 @@
 			}
 			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil && strings.HasPrefix(req.RequestURI, "/fragile/") {
 				d.requests <- struct{}{}
+				_, _ = io.WriteString(c, response)
 			}
 			_ = c.Close()
 		}
@@ -74,11 +80,14 @@
 // the node beside the backend server ends with it; a node that ends alone says nothing of the request.
 func TestCrashWithNodeIsCounted(t *testing.T) {
 	tests := map[string]struct {
-		change uint64 // of the process with each end of the node
-		sent   int    // of eight requests
+		change   uint64 // of the process with each end of the node
+		response string
+		sent     int // of eight requests
 	}{
-		"with its backend server":    {change: 1, sent: 3},
-		"without its backend server": {sent: 8},
+		"with its backend server":      {change: 1, sent: 3},
+		"without its backend server":   {sent: 8},
+		"after its backend server":     {change: 1, response: brokeOff, sent: 3},
+		"the backend server broke off": {response: brokeOff, sent: 8},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -89,7 +98,7 @@
 			group := &errgroup.Group{}
 			n := newTestNode(t, s, group)
 			defer n.stop()
-			d := newDyingNode(t, group)
+			d := newDyingNode(t, group, tt.response)
 			process := uint64(1)
 			for range 8 {
 				d.announce(t, n.address, process)
--- a/internal/request/crashtracker/witness.go
+++ b/internal/request/crashtracker/witness.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,16 +21,19 @@
 	BackendProcess(address string) BackendProcess
 }
 
-// Witness counts the crashes of backend servers whose nodes ended with them: it keeps the requests that it had sent to a
-// node which broke off, and counts a crash against them if another process of the backend server is reported next.
+// Witness counts the crashes of backend servers whose nodes ended before they reported the crash: it keeps the requests
+// that were interrupted at other nodes, and counts a crash against them if another process of the backend server is
+// reported next.
 type Witness interface {
-	// RecordInterrupted keeps a request that was sent to the node at the address, which broke off.
+	// RecordInterrupted keeps a request that was interrupted at the node at the address or at its backend server.
 	RecordInterrupted(now time.Time, address string, fingerprint uint64)
+	// RecordResponse drops the requests that were interrupted before the backend server responded to one sent later.
+	RecordResponse(sent time.Time, address string)
 	// ApplyProcess counts a crash if the node at the address reports another process than the one that was interrupted.
 	ApplyProcess(now time.Time, address string, p BackendProcess)
 }
 
-// witnessed is a request that may have run on the process when its node broke off.
+// witnessed is a request that may have run on the process when it was interrupted.
 type witnessed struct {
 	fingerprint uint64
 	process     BackendProcess
@@ -44,7 +48,7 @@
 
 	// interrupted holds the requests by the address of the node.
 	interrupted map[string][]witnessed
-	count       int
+	count       atomic.Int64
 }
 
 // NewWitness returns a witness that counts crashes with the tracker.
@@ -56,7 +60,7 @@
 	}
 }
 
-// RecordInterrupted keeps a request that was sent to the node at the address, which broke off.
+// RecordInterrupted keeps a request that was interrupted at the node at the address or at its backend server.
 func (w *witness) RecordInterrupted(now time.Time, address string, fingerprint uint64) {
 	p := w.processes.BackendProcess(address)
 	if !p.Known() {
@@ -64,13 +68,13 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.count >= witnessedMax {
+	if w.count.Load() >= witnessedMax {
 		w.removeExpired(now)
 	}
-	if w.count >= witnessedMax {
+	if w.count.Load() >= witnessedMax {
 		return
 	}
-	w.count++
+	w.count.Add(1)
 	w.interrupted[address] = append(w.interrupted[address], witnessed{
 		fingerprint: fingerprint,
 		process:     p,
@@ -80,24 +84,40 @@
 
 // removeExpired removes the requests that no longer count; w.mu is held.
 func (w *witness) removeExpired(now time.Time) {
-	for address, list := range w.interrupted {
-		kept := list[:0]
-		for _, i := range list {
-			if now.Sub(i.at) < witnessRetention {
-				kept = append(kept, i)
-			}
-		}
-		w.count -= len(list) - len(kept)
-		w.interrupted[address] = kept
-		if len(kept) == 0 {
-			delete(w.interrupted, address)
+	for address := range w.interrupted {
+		w.keep(address, func(i witnessed) bool { return now.Sub(i.at) < witnessRetention })
+	}
+}
+
+// keep removes the requests at the address for which kept returns false; w.mu is held.
+func (w *witness) keep(address string, kept func(witnessed) bool) {
+	list := w.interrupted[address]
+	rest := list[:0]
+	for _, i := range list {
+		if kept(i) {
+			rest = append(rest, i)
 		}
 	}
+	w.count.Add(int64(len(rest) - len(list)))
+	w.interrupted[address] = rest
+	if len(rest) == 0 {
+		delete(w.interrupted, address)
+	}
+}
+
+// RecordResponse drops the requests that were interrupted before the backend server responded to one sent later.
+func (w *witness) RecordResponse(sent time.Time, address string) {
+	if w.count.Load() == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.keep(address, func(i witnessed) bool { return !i.at.Before(sent) })
 }
 
 // ApplyProcess counts a crash if the node at the address reports another process than the one that was interrupted.
 func (w *witness) ApplyProcess(now time.Time, address string, p BackendProcess) {
-	if !p.Known() {
+	if !p.Known() || w.count.Load() == 0 {
 		return
 	}
 	for crashed, requests := range w.takeCrashed(now, address, p) {
@@ -109,24 +129,12 @@
 func (w *witness) takeCrashed(now time.Time, address string, p BackendProcess) map[BackendProcess][]uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	list := w.interrupted[address]
-	if len(list) == 0 {
-		return nil
-	}
 	crashed := map[BackendProcess][]uint64{}
-	kept := list[:0]
-	for _, i := range list {
-		switch {
-		case i.process == p:
-			kept = append(kept, i)
-		case now.Sub(i.at) < witnessRetention:
+	w.keep(address, func(i witnessed) bool {
+		if i.process != p && now.Sub(i.at) < witnessRetention {
 			crashed[i.process] = append(crashed[i.process], i.fingerprint)
 		}
-	}
-	w.count -= len(list) - len(kept)
-	w.interrupted[address] = kept
-	if len(kept) == 0 {
-		delete(w.interrupted, address)
-	}
+		return i.process == p
+	})
 	return crashed
 }
--- a/internal/request/crashtracker/witness_test.go
+++ b/internal/request/crashtracker/witness_test.go
@@ -22,6 +22,7 @@
 	const address = "b"
 	tests := map[string]struct {
 		interrupted string // process of the backend server, empty if it is not known
+		responded   time.Duration
 		next        []string
 		after       time.Duration
 		refused     bool
@@ -34,6 +35,8 @@
 		"no process yet":                   {interrupted: "i-1", next: []string{""}},
 		"no process yet, then another":     {interrupted: "i-1", next: []string{"", "i-2"}, refused: true},
 		"process not known":                {next: []string{"i-2"}},
+		"responded to a later request":     {interrupted: "i-1", responded: time.Millisecond, next: []string{"i-2"}},
+		"responded to an earlier request":  {interrupted: "i-1", responded: -time.Millisecond, next: []string{"i-2"}, refused: true},
 		"crash counted already":            {interrupted: "0", next: []string{"i-2"}},
 	}
 	for name, tt := range tests {
@@ -51,6 +54,9 @@
 				address: backendProcess(tt.interrupted),
 			})
 			w.RecordInterrupted(start, address, poison)
+			if tt.responded != 0 {
+				w.RecordResponse(start.Add(tt.responded), address)
+			}
 			for _, next := range tt.next {
 				w.ApplyProcess(start.Add(tt.after), address, backendProcess(next))
 				w.ApplyProcess(start.Add(tt.after), "another", backendProcess("i-3"))
--- a/internal/stream/transporter/transporter.go
+++ b/internal/stream/transporter/transporter.go
@@ -21,9 +21,11 @@
 	Send(ctx context.Context, m chivegauge.Member, c chivegauge.Call, r *streamer.Request) (*streamer.Response, picker.Load)
 }
 
-// Witness keeps the requests that were at a node which broke off: its backend server may have crashed with it.
+// Witness keeps the requests that were interrupted at other nodes: their backend servers may have crashed, and the nodes
+// with them.
 type Witness interface {
 	RecordInterrupted(now time.Time, address string, fingerprint uint64)
+	RecordResponse(sent time.Time, address string)
 }
 
 type sender struct {
@@ -41,19 +43,22 @@
 
 // Send sends the request to the member once.
 func (s *sender) Send(ctx context.Context, m chivegauge.Member, call chivegauge.Call, r *streamer.Request) (*streamer.Response, picker.Load) {
+	sent := time.Now()
 	out := *r
-	out.Header = encodeCall(time.Now(), call, r.Header)
+	out.Header = encodeCall(sent, call, r.Header)
 	p := s.peers.Get(m.Address)
 	response, err := p.Exchange(ctx, &out)
 	if err == nil {
-		return response, decodeResponse(response)
+		load := decodeResponse(response)
+		s.witnessResponse(sent, m, call, r, response)
+		return response, load
 	}
 	failed := &connector.Error{}
 	if errors.As(err, &failed) && !failed.Sent {
 		return streamer.RefusalResponse(chivegauge.Refuse(chivegauge.CodeUnreachable, "the node can't be reached: "+err.Error())), picker.Load{}
 	}
 	if ctx.Err() != nil && call.Budget(time.Now()) > 0 {
-		return streamer.RefusalResponse(chivegauge.RefuseMayHaveRun(chivegauge.CodeCancelled, "the caller left while the other node had the request")), picker.Load{}
+		return streamer.RefusalResponse(chivegauge.RefuseMayHaveRun(chivegauge.CodeCancelled, "cancelled while the other node had the request: "+context.Cause(ctx).Error())), picker.Load{}
 	}
 	if ctx.Err() != nil {
 		return streamer.RefusalResponse(chivegauge.RefuseMayHaveRun(chivegauge.CodeDeadline, "no answer in time")), picker.Load{}
@@ -62,3 +67,13 @@
 	s.witness.RecordInterrupted(time.Now(), m.Address, r.Fingerprint(call.Workspace, call.Route))
 	return streamer.RefusalResponse(chivegauge.RefuseMayHaveRun(chivegauge.CodeOutcomeUnknown, "the node broke off: "+err.Error())), picker.Load{}
 }
+
+// witnessResponse records what the response says about the backend server beside the member.
+func (s *sender) witnessResponse(sent time.Time, m chivegauge.Member, call chivegauge.Call, r *streamer.Request, response *streamer.Response) {
+	switch {
+	case response.Refusal == nil:
+		s.witness.RecordResponse(sent, m.Address)
+	case response.Refusal.Code == chivegauge.CodeOutcomeUnknown:
+		s.witness.RecordInterrupted(time.Now(), m.Address, r.Fingerprint(call.Workspace, call.Route))
+	}
+}
