Admit in a stop only what ends in time, and answer what was admitted

Cause: a stopping node took requests for 2.5 s after the signal, whatever their time limit and however long such runs last, and closed the connections of those that still ran 1.2 s before the end of the grace, the ones that may not be repeated included.

Change: a request that begins during the stop is admitted if it ends in time by its deadline or by the times that requests on its route took, and its deadline ends before the node does; others are refused as not run.

--- a/internal/stream/acceptor/acceptor.go
+++ b/internal/stream/acceptor/acceptor.go
@@ -48,6 +48,8 @@
 	Finish()
 	// CloseIdle closes the connections on which no request is being read or handled.
 	CloseIdle()
+	// Abort cancels the requests in flight, whose responses are still sent.
+	Abort()
 	// InFlight returns the number of requests in flight.
 	InFlight() int
 	// Wait blocks until all connections are closed.
@@ -59,6 +61,7 @@
 	limits    func() Limits
 	draining  atomic.Bool
 	finishing atomic.Bool
+	aborted   atomic.Bool
 	inFlight  atomic.Int64
 	group     sync.WaitGroup
 
@@ -86,12 +89,12 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := newConn(a, nc)
+		c := newConn(ctx, a, nc)
 		a.mu.Lock()
 		a.conns[c] = struct{}{}
 		a.mu.Unlock()
 		a.group.Go(func() {
-			c.serve(ctx)
+			c.serve()
 			a.mu.Lock()
 			delete(a.conns, c)
 			a.mu.Unlock()
@@ -120,6 +123,19 @@
 	}
 }
 
+// errAborted is the cause of cancelled requests that Abort ended.
+var errAborted = errors.New("the node stops")
+
+// Abort cancels the requests in flight, whose responses are still sent.
+func (a *acceptor) Abort() {
+	a.aborted.Store(true)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		c.cancel(errAborted)
+	}
+}
+
 // InFlight returns the number of requests in flight.
 func (a *acceptor) InFlight() int {
 	return int(a.inFlight.Load())
--- a/internal/stream/acceptor/conn.go
+++ b/internal/stream/acceptor/conn.go
@@ -42,6 +42,10 @@
 	bw      *bufio.Writer
 	group   sync.WaitGroup
 
+	// ctx is the context of the requests; cancel ends it when the caller disconnects.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
 	// pipeline is a semaphore over the requests in flight.
 	pipeline chan struct{}
 
@@ -52,7 +56,7 @@
 	state state
 }
 
-func newConn(a *acceptor, nc net.Conn) *conn {
+func newConn(ctx context.Context, a *acceptor, nc net.Conn) *conn {
 	c := &conn{
 		owner: a,
 		nc:    nc,
@@ -65,6 +69,7 @@
 		exchanges: make(chan *exchange),
 	}
 	c.br = bufio.NewReaderSize(c.limited, readBufferBytes)
+	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	return c
 }
 
@@ -83,8 +88,7 @@
 }
 
 // serve reads requests until the connection ends, then cancels those in flight and waits for them.
-func (c *conn) serve(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
+func (c *conn) serve() {
 	first := make(chan struct{})
 	close(first)
 	earlierDone := (<-chan struct{})(first)
@@ -99,7 +103,7 @@
 			break
 		}
 		c.pipeline <- struct{}{}
-		c.dispatch(ctx, x)
+		c.dispatch(x)
 		earlierDone = x.done
 		if x.body != nil {
 			select {
@@ -112,7 +116,7 @@
 			break
 		}
 	}
-	cancel()
+	c.cancel(nil)
 	close(c.exchanges)
 	c.group.Wait()
 	_ = c.nc.Close()
@@ -120,13 +124,13 @@
 
 // dispatch passes the exchange to an idle goroutine of the connection, whose stack has already grown, or to a new one
 // if all are busy.
-func (c *conn) dispatch(ctx context.Context, x *exchange) {
+func (c *conn) dispatch(x *exchange) {
 	select {
 	case c.exchanges <- x:
 	default:
 		c.group.Go(func() {
 			for ok := true; ok; x, ok = <-c.exchanges {
-				c.handle(ctx, x)
+				c.handle(x)
 				<-c.pipeline
 			}
 		})
@@ -150,6 +154,10 @@
 func (c *conn) startReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.owner.finishing.Load() && c.state.inFlight == 0 {
+		c.state.closing = true
+		_ = c.nc.Close()
+	}
 	if c.state.closing || c.owner.finishing.Load() {
 		return false
 	}
@@ -324,13 +332,13 @@
 
 // handle runs the handler and writes the response after those to all earlier requests; it writes none if the caller has
 // disconnected.
-func (c *conn) handle(ctx context.Context, x *exchange) {
-	response := c.owner.handler.Handle(ctx, x.request)
+func (c *conn) handle(x *exchange) {
+	response := c.owner.handler.Handle(c.ctx, x.request)
 	defer response.Release()
 	defer close(x.done)
 	defer c.owner.inFlight.Add(-1)
 	<-x.earlierDone
-	if ctx.Err() != nil {
+	if c.ctx.Err() != nil && !c.owner.aborted.Load() {
 		c.finish(false)
 		return
 	}
--- a/internal/stream/acceptor/drain_test.go
+++ b/internal/stream/acceptor/drain_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"io"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/chivegauge/chivegauge/internal/stream/acceptor"
 	"github.com/chivegauge/chivegauge/internal/stream/streamer"
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 )
 
@@ -99,8 +101,8 @@
 	}
 }
 
-// TestFinishClosesIdleConnections checks that a connection without a request is closed by CloseIdle, also if a request
-// arrives on it after Finish.
+// TestFinishClosesIdleConnections checks that a connection without a request in flight is closed when a request arrives
+// on it after Finish.
 func TestFinishClosesIdleConnections(t *testing.T) {
 	is := is.New(t)
 	handled := atomic.Int64{}
@@ -110,8 +112,9 @@
 	})
 	a.Finish()
 	send(t, nc, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
-	time.Sleep(20 * time.Millisecond) // until the request was read
-	a.CloseIdle()
+	_, err := bufio.NewReader(nc).ReadByte()
+	is.True(err != nil)
+	is.True(!errors.Is(err, os.ErrDeadlineExceeded))
 	a.Wait()
 	is.Equal(handled.Load(), int64(0))
 }
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/policy/finisher"
 	"github.com/chivegauge/chivegauge/internal/policy/limiter"
 	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/chivegauge/chivegauge/internal/request/concurrencylimiter"
@@ -35,6 +36,8 @@
 	LastReport() (Report, bool)
 	// Load returns the running and waiting requests, the limit and the failure rate.
 	Load() picker.Load
+	// BeginStop refuses further requests that are not expected to end before the end.
+	BeginStop(end time.Time)
 	// Stop refuses all further requests.
 	Stop()
 }
@@ -60,6 +63,7 @@
 	interrupted      interrupted
 	probing          bool
 	rate             chivegauge.RateLimit
+	finisher         finisher.Finisher
 }
 
 // Config holds the dependencies of an executor.
@@ -88,7 +92,8 @@
 func New(cfg Config) Executor {
 	cfg.Limiter.StartProbation()
 	return &executor{
-		Config: cfg,
+		Config:   cfg,
+		finisher: finisher.New(),
 	}
 }
 
@@ -177,6 +182,33 @@
 	e.failures = e.failures.withRun(time.Now(), failed)
 }
 
+// BeginStop refuses further requests that are not expected to end before the end.
+func (e *executor) BeginStop(end time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.finisher.Stop(end)
+}
+
+// admitBeforeStop returns the call with a deadline before the end of the node, or a refusal if it is not expected to end
+// in time.
+func (e *executor) admitBeforeStop(now time.Time, c chivegauge.Call) (chivegauge.Call, *chivegauge.Refusal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	deadline, ok := e.finisher.Admit(now, c.Route, c.Deadline)
+	if !ok {
+		return c, chivegauge.Refuse(chivegauge.CodeDraining, "the node stops before the request would have ended")
+	}
+	c.Deadline = deadline
+	return c, nil
+}
+
+// observeTime records how long a request on the route took.
+func (e *executor) observeTime(route string, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.finisher.Observe(route, took)
+}
+
 // Stop refuses all further requests.
 func (e *executor) Stop() {
 	e.mu.Lock()
@@ -228,6 +260,11 @@
 	if refusal := e.checkQuarantine(time.Now(), c, r); refusal != nil {
 		return streamer.RefusalResponse(refusal)
 	}
+	began := time.Now()
+	c, refusal := e.admitBeforeStop(began, c)
+	if refusal != nil {
+		return streamer.RefusalResponse(refusal)
+	}
 	held, refusal := e.acquire(ctx, c)
 	if refusal != nil {
 		return streamer.RefusalResponse(refusal)
@@ -256,7 +293,10 @@
 		e.Limiter.EndProbation()
 	}
 	e.recordResponse(now, response, c, r)
-	response.OnRelease(func() { e.Correlator.End(id) })
+	response.OnRelease(func() {
+		e.Correlator.End(id)
+		e.observeTime(c.Route, time.Since(began))
+	})
 	return e.handleResponse(response, held)
 }
 
@@ -297,7 +337,7 @@
 		return chivegauge.Refuse(chivegauge.CodeNoBackend, "the backend server can't be reached: "+err.Error())
 	}
 	if ctx.Err() != nil && c.Budget(time.Now()) > 0 {
-		return chivegauge.RefuseMayHaveRun(chivegauge.CodeCancelled, "cancelled while the request ran")
+		return chivegauge.RefuseMayHaveRun(chivegauge.CodeCancelled, "cancelled while the request ran: "+context.Cause(ctx).Error())
 	}
 	if ctx.Err() != nil {
 		return chivegauge.RefuseMayHaveRun(chivegauge.CodeDeadline, "the deadline passed while the request ran")
--- a/internal/stream/forwarder/admit.go
+++ b/internal/stream/forwarder/admit.go
@@ -36,6 +36,10 @@
 			c.Importance = max(c.Importance, importance)
 		}
 	}
+	c, refusal := f.admitBeforeStop(r.Arrived, c)
+	if refusal != nil {
+		return c, 0, refusal
+	}
 	if refusal := f.authorize(ctx, &c, r, route, cfg); refusal != nil {
 		return c, 0, refusal
 	}
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/policy/budgeter"
+	"github.com/chivegauge/chivegauge/internal/policy/finisher"
 	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/chivegauge/chivegauge/internal/policy/splitter"
 	"github.com/chivegauge/chivegauge/internal/request/crashtracker"
@@ -125,6 +126,8 @@
 type Forwarder interface {
 	// Handle returns the response to the request.
 	Handle(ctx context.Context, r *streamer.Request) *streamer.Response
+	// BeginStop refuses further requests that are not expected to end before the end.
+	BeginStop(end time.Time)
 	// SetNodes sets the number of nodes, over which the slack of the retry budget is divided evenly.
 	SetNodes(nodes int)
 	// SetRetryBudget sets the ratios of retries to first attempts, and the slack: the number of retries per window that
@@ -136,6 +139,7 @@
 	Config
 	mu       sync.Mutex
 	splitter splitter.Splitter
+	finisher finisher.Finisher
 	slack    float64
 	nodes    int
 }
@@ -145,6 +149,7 @@
 	return &forwarder{
 		Config:   cfg,
 		splitter: splitter.New(),
+		finisher: finisher.New(),
 		nodes:    1,
 	}
 }
@@ -177,6 +182,9 @@
 	response, tried := f.forward(ctx, call, attemptsMax, r)
 	timer.Stop()
 	response.OnRelease(cancel)
+	if response.Refusal == nil {
+		response.OnRelease(func() { f.observeTime(call.Route, time.Since(r.Arrived)) })
+	}
 	return f.finish(call, r, response, tried)
 }
 
--- a/internal/stream/transporter/transporter_test.go
+++ b/internal/stream/transporter/transporter_test.go
@@ -17,7 +17,7 @@
 type noWitness struct{}
 
 func (noWitness) RecordInterrupted(time.Time, string, uint64) {}
-func (noWitness) RecordResponse(time.Time, string)             {}
+func (noWitness) RecordResponse(time.Time, string)            {}
 
 // TestNoResponse checks which refusal is returned if the context ends before the other node has responded.
 func TestNoResponse(t *testing.T) {
