Check that a response which breaks off is never taken for whole

Cause: an operator of a similar system reported responses of status 200 with an empty or short body after a backend server broke off in a head.

Only a body that ends with its connection has no other end, as the protocol says.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 SEED ?= 1
 
 SEEDS ?= 50
+FUZZTIME ?= 5s
 
 .PHONY: build demo test lint measure soak fault-soak capacity generate
 
@@ -21,6 +22,7 @@
 test:
 	@grep -v '^#' KNOWN-RED.txt || true
 	go test -timeout 9m $(if $(RED),-skip '$(RED)') ./...
+	go test ./internal/stream/connector -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME)
 
 lint:
 	go run $(GOFUMPT) -l . | tee /dev/stderr | (! grep -q .)
--- a/internal/app/assembler/crash_test.go
+++ b/internal/app/assembler/crash_test.go
@@ -54,8 +54,7 @@
 
 // announce tells the node at the address which process of the backend server runs beside the dying node.
 func (d *dyingNode) announce(t *testing.T, address string, change uint64) {
-	is := is.New(t)
-	body, err := json.Marshal(registrar.Record{
+	announce(t, address, registrar.Record{
 		Member: chivegauge.Member{
 			Address:     d.Addr().String(),
 			Service:     "fragile",
@@ -66,6 +65,12 @@
 		StartedAtMs: int64(change),
 		Slots:       8,
 	})
+}
+
+// announce sends the record of a node to the node at the address.
+func announce(t *testing.T, address string, rec registrar.Record) {
+	is := is.New(t)
+	body, err := json.Marshal(rec)
 	is.NoErr(err)
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", strings.NewReader(string(body)))
 	is.NoErr(err)
--- a/internal/app/assembler/stop_test.go
+++ b/internal/app/assembler/stop_test.go
@@ -117,6 +117,7 @@
 	stop    context.CancelFunc
 }
 
+// newTestNode starts a node beside a backend server of the service "booking".
 func newTestNode(t *testing.T, s *store, group *errgroup.Group) *testNode {
 	names := chivegauge.OwnHeaderNames()
 	backend, err := net.Listen("tcp", "127.0.0.1:0")
@@ -133,6 +134,11 @@
 		return nil
 	})
 	t.Cleanup(func() { _ = server.Close() })
+	return newTestNodeBeside(t, s, group, backend.Addr().String())
+}
+
+// newTestNodeBeside starts a node beside a backend server of the service "booking" at the address.
+func newTestNodeBeside(t *testing.T, s *store, group *errgroup.Group, backendAddress string) *testNode {
 	settings := assembler.Settings{
 		Name: "node",
 		Member: chivegauge.Member{
@@ -140,8 +146,8 @@
 			Service: "booking",
 		},
 		CallerAddress:  freeAddress(t),
-		BackendAddress: backend.Addr().String(),
-		Names:          names,
+		BackendAddress: backendAddress,
+		Names:          chivegauge.OwnHeaderNames(),
 		MemoryBytes:    1 << 30,
 		RetryWindow:    time.Second,
 		Log:            io.Discard,
--- a/internal/stream/connector/connector_test.go
+++ b/internal/stream/connector/connector_test.go
@@ -31,7 +31,7 @@
 	reads   int
 }
 
-func start(t *testing.T, serve func(n int, r *http.Request, nc net.Conn) (keep bool)) *backend {
+func start(t testing.TB, serve func(n int, r *http.Request, nc net.Conn) (keep bool)) *backend {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -76,7 +76,7 @@
 	}
 }
 
-func connect(t *testing.T, b *backend) connector.Connector {
+func connect(t testing.TB, b *backend) connector.Connector {
 	c := connector.New(connector.Config{
 		Address:         b.address,
 		DialTimeout:     testTimeout,
