Pick a member and attribute a call without visiting all of them

Cause: a profile of 76 nodes showed the picks, which built lists of all members, at a seventeenth of the requests' time, and the correlator, which visited all running requests for each call, at a fourteenth before.

Change: the picker keeps the members of a service by zone as long as the list is the same, draws random ones and looks only at these; which members are ejected is checked again only after a further ejection or the end of one. The correlator keeps the running requests sorted by deadline, and stops where the parent is known to be ambiguous.

--- a/internal/policy/picker/picker.go
+++ b/internal/policy/picker/picker.go
@@ -37,6 +37,9 @@
 	// choicesPerGroup is the number of random members compared among those in the same zone, and among the others.
 	choicesPerGroup = 2
 
+	// drawsMax is the number of random draws for them, after which the members are visited one after the other.
+	drawsMax = 6
+
 	// statesMax is the number of addresses of which outcomes are recorded.
 	statesMax = 20000
 )
@@ -95,6 +98,13 @@
 	zone   string
 	region string
 	states map[string]*state
+
+	// groups holds the groups of the list of each service, by the service.
+	groups map[string]*groups
+
+	// ejections counts the ejections of all members, the last of which ends at ejectedUntil.
+	ejections    int
+	ejectedUntil time.Time
 }
 
 // New returns a Picker for a node in the zone and region.
@@ -103,6 +113,7 @@
 		zone:   zone,
 		region: region,
 		states: map[string]*state{},
+		groups: map[string]*groups{},
 	}
 }
 
@@ -131,49 +142,66 @@
 // Pick compares the costs of a few random members, in the same zone and in others, and returns the member with the
 // lowest.
 func (p *picker) Pick(now time.Time, members []chivegauge.Member, tried []string, random Random) (chivegauge.Member, bool) {
-	sameZone, otherZones := p.candidates(now, members, tried)
 	best := chivegauge.Member{}
 	cost := math.Inf(1)
-	for _, group := range [][]chivegauge.Member{sameZone, otherZones} {
-		for n := 0; n < choicesPerGroup && len(group) > 0; n++ {
-			i := random(len(group))
-			m := group[i]
-			group[i] = group[len(group)-1]
-			group = group[:len(group)-1]
-			if c := p.cost(now, m); c < cost {
-				best = m
-				cost = c
+	if len(members) == 0 {
+		return best, false
+	}
+	g := p.groupsOf(members)
+	skipEjected := p.skipEjected(now, g)
+	usable := func(m chivegauge.Member) bool {
+		return m.Serving() && !contains(tried, m.Address) && !(skipEjected && p.ejected(now, m.Address))
+	}
+	for _, group := range [...][]chivegauge.Member{g.sameZone, g.otherZones} {
+		c := choose(group, usable, random)
+		for _, i := range c.indexes[:c.count] {
+			if memberCost := p.cost(now, group[i]); memberCost < cost {
+				best = group[i]
+				cost = memberCost
 			}
 		}
 	}
 	return best, !math.IsInf(cost, 1)
 }
 
-// candidates returns the usable members in the node's zone and in the others; ejections are
-// ignored if more than half of the serving members are ejected, or all of them.
-func (p *picker) candidates(now time.Time, members []chivegauge.Member, tried []string) (sameZone, otherZones []chivegauge.Member) {
+// groupsOf returns the groups of the list, which has a member.
+func (p *picker) groupsOf(members []chivegauge.Member) *groups {
+	service := members[0].Service
+	g := p.groups[service]
+	if g == nil || !g.of(members) {
+		g = newGroups(members, p.zone)
+		p.groups[service] = g
+	}
+	return g
+}
+
+// skipEjected reports whether ejected members are skipped: not if more than half of the serving members are ejected, or
+// all of them.
+func (p *picker) skipEjected(now time.Time, g *groups) bool {
+	if !now.Before(p.ejectedUntil) {
+		return false
+	}
+	if g.checkedEjections == p.ejections && now.Before(g.checkedUntil) {
+		return g.skipEjected
+	}
 	serving := 0
 	ejected := 0
-	for _, m := range members {
-		if m.Serving() {
-			serving++
-			if p.ejected(now, m.Address) {
-				ejected++
-			}
-		}
-	}
-	skipEjected := 2*ejected <= serving && ejected < serving
-	for _, m := range members {
-		if !m.Serving() || contains(tried, m.Address) || (skipEjected && p.ejected(now, m.Address)) {
+	g.checkedUntil = p.ejectedUntil
+	g.checkedEjections = p.ejections
+	for _, m := range g.list {
+		if !m.Serving() {
 			continue
 		}
-		if m.Zone == p.zone {
-			sameZone = append(sameZone, m)
-			continue
+		serving++
+		if p.ejected(now, m.Address) {
+			ejected++
+			if until := p.states[m.Address].ejectedUntil; until.Before(g.checkedUntil) {
+				g.checkedUntil = until
+			}
 		}
-		otherZones = append(otherZones, m)
 	}
-	return sameZone, otherZones
+	g.skipEjected = 2*ejected <= serving && ejected < serving
+	return g.skipEjected
 }
 
 func contains(list []string, target string) bool {
@@ -265,6 +293,10 @@
 		}
 	}
 	s.ejectedUntil = now.Add(min(ejectionMax, ejectionFirst<<min(s.ejections, 5)))
+	p.ejections++
+	if s.ejectedUntil.After(p.ejectedUntil) {
+		p.ejectedUntil = s.ejectedUntil
+	}
 	s.ejections++
 	s.failures = 0
 }
--- a/internal/policy/picker/picker_test.go
+++ b/internal/policy/picker/picker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -125,3 +126,55 @@
 		})
 	}
 }
+
+// TestEjectionsInALargeService checks that ejected members are passed over while at most half of the service is ejected, and
+// are picked again afterwards.
+func TestEjectionsInALargeService(t *testing.T) {
+	const size = 40
+	tests := map[string]struct {
+		ejected int
+		later   time.Duration
+		picked  bool // members that were ejected are picked
+	}{
+		"one":                       {ejected: 1},
+		"half":                      {ejected: size / 2},
+		"more than half":            {ejected: size/2 + 1, picked: true},
+		"all":                       {ejected: size, picked: true},
+		"half, after the ejections": {ejected: size / 2, later: 2 * time.Second, picked: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			members := []chivegauge.Member{}
+			for n := range size {
+				members = append(members, member(strconv.Itoa(n), "sw-"+strconv.Itoa(n%4)))
+			}
+			p := picker.New("sw-1", "sw")
+			random := rand.New(rand.NewPCG(1, 1)).IntN
+			p.Pick(now, members, nil, random) // before the ejections
+			for n := range tt.ejected {
+				p.Begin(members[n].Address)
+				p.End(now, members[n].Address, picker.Unreached, picker.Load{})
+			}
+			p.Pick(now, members, nil, random)
+			now = now.Add(tt.later)
+			picked := map[string]int{}
+			for range 2000 {
+				m, ok := p.Pick(now, members, []string{"39"}, random)
+				is.True(ok)
+				picked[m.Address]++
+				p.Begin(m.Address) // spreads the picks
+			}
+			is.Equal(picked["39"], 0) // tried
+			for n := range tt.ejected {
+				if tt.picked && n != 39 {
+					is.True(picked[strconv.Itoa(n)] > 0)
+				}
+				if !tt.picked {
+					is.Equal(picked[strconv.Itoa(n)], 0)
+				}
+			}
+		})
+	}
+}
--- a/internal/request/correlator/correlator.go
+++ b/internal/request/correlator/correlator.go
@@ -1,6 +1,8 @@
 package correlator
 
 import (
+	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -44,15 +46,18 @@
 
 // request is a request that runs on the backend server.
 type request struct {
+	id         uint64
 	route      string
 	importance chivegauge.Importance
 	deadline   time.Time
 }
 
 type correlator struct {
-	mu      sync.Mutex
-	lastID  uint64
-	running map[uint64]request
+	mu     sync.Mutex
+	lastID uint64
+
+	// running is sorted by deadline.
+	running []request
 
 	// attributed is the number of attributed calls; parents counts them by the route of the parent, callees by their own.
 	attributed int
@@ -63,7 +68,6 @@
 // New returns a correlator without running requests.
 func New() Correlator {
 	return &correlator{
-		running: map[uint64]request{},
 		parents: map[string]int{},
 		callees: map[string]int{},
 	}
@@ -74,11 +78,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastID++
-	c.running[c.lastID] = request{
+	at := sort.Search(len(c.running), func(n int) bool { return c.running[n].deadline.After(deadline) })
+	c.running = slices.Insert(c.running, at, request{
+		id:         c.lastID,
 		route:      route,
 		importance: importance,
 		deadline:   deadline,
-	}
+	})
 	return c.lastID
 }
 
@@ -86,7 +92,9 @@
 func (c *correlator) End(id uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.running, id)
+	if at := slices.IndexFunc(c.running, func(r request) bool { return r.id == id }); at >= 0 {
+		c.running = slices.Delete(c.running, at, at+1)
+	}
 }
 
 // Attribute attributes a call to the running request that made it.
@@ -110,17 +118,19 @@
 // findParent returns the route of the request that made a call, and its importance or importanceUnknown. No call has a
 // later deadline than its parent, and a call with an inherited deadline has the same one.
 func (c *correlator) findParent(deadline time.Time, inherited bool) (string, chivegauge.Importance, bool) {
+	earliest := deadline.Add(-deadlineTolerance)
+	first := sort.Search(len(c.running), func(n int) bool { return !c.running[n].deadline.Before(earliest) })
 	exact := candidates{}
 	possible := candidates{}
-	for _, r := range c.running {
-		left := r.deadline.Sub(deadline)
-		if left < -deadlineTolerance {
-			continue
-		}
+	for _, r := range c.running[first:] {
 		possible.add(r)
-		if inherited && left <= deadlineTolerance {
+		inExact := inherited && r.deadline.Sub(deadline) <= deadlineTolerance
+		if inExact {
 			exact.add(r)
 		}
+		if !inExact && possible.routes > 1 {
+			break
+		}
 	}
 	if exact.unambiguous() {
 		return exact.route, exact.importance, true
