Grant rate tokens ahead of their use

Cause: nearly each request of a limited workspace took a message to the node that owns its bucket and back, about a fifth of a node's time with its serving, and the owner was found by hashing all members, twice.

Change: a node asks for the tokens that it will use within a second, by its recent demand. The owner grants them if half of the burst is left to others, and counts them against the burst until that second is over, so that the sum over all nodes keeps the bound whenever they are used. The owner of a bucket is kept until a node becomes reachable or unreachable, and the registrar publishes its list only after a change.

TestAheadTokensCountAgainstTheBurst replays the latest use.

--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -206,10 +206,13 @@
 	if err != nil {
 		return err
 	}
+	changed := first
 	for _, rec := range list {
-		r.mergeRecord(rec, first)
+		changed = r.mergeRecord(rec, first) || changed
+	}
+	if changed {
+		r.publish()
 	}
-	r.publish()
 	if !first {
 		return r.repair(ctx, list)
 	}
@@ -264,22 +267,23 @@
 	return rec
 }
 
-// mergeRecord stores a record that is newer than the stored one of its address; in the first list, a record of this
-// node's address by another process becomes the previous record.
-func (r *registrar) mergeRecord(rec Record, first bool) {
+// mergeRecord stores a record that is newer than the stored one of its address, and reports whether it is; in the first
+// list, a record of this node's address by another process becomes the previous record.
+func (r *registrar) mergeRecord(rec Record, first bool) bool {
 	if err := rec.Validate(time.Now()); err != nil {
 		r.log.Warn().Err(err).Str("Address", rec.Member.Address).Msg("record of a node ignored")
-		return
+		return false
 	}
 	for _, f := range r.onRecord {
 		f(rec)
 	}
 	if !r.replace(rec, first) {
-		return
+		return false
 	}
 	for _, f := range r.onChange {
 		f(rec)
 	}
+	return true
 }
 
 // replace stores the record of another node if it is newer, and reports whether it is; first says that it was read when
@@ -306,9 +310,11 @@
 	_, ok := r.records[rec.Member.Address]
 	own := r.own
 	r.mu.Unlock()
-	r.mergeRecord(rec, false)
+	if !r.mergeRecord(rec, false) {
+		return
+	}
 	r.publish()
-	if !ok && rec.Validate(time.Now()) == nil && rec.Member.Address != own.Member.Address && rec.Member.State < chivegauge.Left {
+	if !ok && rec.Member.State < chivegauge.Left {
 		r.notify([]Record{rec}, own)
 	}
 }
--- a/internal/policy/locallimiter/locallimiter.go
+++ b/internal/policy/locallimiter/locallimiter.go
@@ -14,6 +14,9 @@
 	Empty(now time.Time, workspace string)
 	// Acquire spends up to n tokens and returns how many it spent, and the time until a token is available.
 	Acquire(now time.Time, workspace string, n int) (taken int, wait time.Duration)
+	// AcquireAhead spends up to n tokens that may be used until the given time, and returns how many it spent. Until then
+	// they count against the burst, and half of the burst is left to other requests.
+	AcquireAhead(now time.Time, workspace string, n int, until time.Time) int
 }
 
 // bucket is a token bucket; rate is in tokens per second, level and burst are in tokens.
@@ -22,6 +25,15 @@
 	burst   float64
 	level   float64
 	updated time.Time
+
+	// held are the tokens that were spent ahead of their use, by the order of the ends of that time.
+	held []holding
+}
+
+// holding is a number of tokens that may be used until a time.
+type holding struct {
+	tokens float64
+	until  time.Time
 }
 
 type localLimiter struct {
@@ -61,9 +73,19 @@
 	l.buckets = buckets
 }
 
+// refill adds the tokens since the last call, up to the part of the burst that is not held, but at least one token.
 func (b *bucket) refill(now time.Time) {
+	held := 0.0
+	kept := b.held[:0]
+	for _, h := range b.held {
+		if now.Before(h.until) {
+			kept = append(kept, h)
+			held += h.tokens
+		}
+	}
+	b.held = kept
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
-		b.level = min(b.burst, b.level+b.rate*elapsed.Seconds())
+		b.level = min(max(1, b.burst-held), b.level+b.rate*elapsed.Seconds())
 		b.updated = now
 	}
 }
@@ -87,3 +109,22 @@
 	b.level -= float64(taken)
 	return taken, time.Duration(max(0, 1-b.level) / b.rate * float64(time.Second))
 }
+
+// AcquireAhead spends up to n tokens above half of the burst; a workspace without a rate needs none.
+func (l *localLimiter) AcquireAhead(now time.Time, workspace string, n int, until time.Time) int {
+	b := l.buckets[workspace]
+	if b == nil {
+		return 0
+	}
+	b.refill(now)
+	taken := min(n, int(b.level-b.burst/2))
+	if taken <= 0 {
+		return 0
+	}
+	b.level -= float64(taken)
+	b.held = append(b.held, holding{
+		tokens: float64(taken),
+		until:  until,
+	})
+	return taken
+}
--- a/internal/policy/locallimiter/locallimiter_test.go
+++ b/internal/policy/locallimiter/locallimiter_test.go
@@ -59,3 +59,58 @@
 	is.Equal(n, 7)
 	is.Equal(wait, time.Duration(0))
 }
+
+// TestAheadTokensCountAgainstTheBurst checks that in no window more tokens are used than rate and burst allow, if tokens
+// that were granted ahead are used as late as they may be, and that half of the burst is left to others.
+func TestAheadTokensCountAgainstTheBurst(t *testing.T) {
+	const (
+		rate  = 50.0
+		burst = 40.0
+		hold  = time.Second
+	)
+	type use struct {
+		at     time.Time
+		tokens int
+	}
+	tests := map[string]struct {
+		ahead int
+		pause time.Duration
+	}{
+		"few":              {ahead: 3, pause: 100 * time.Millisecond},
+		"many":             {ahead: 100, pause: 100 * time.Millisecond},
+		"many, in a hurry": {ahead: 100, pause: time.Millisecond},
+		"seldom":           {ahead: 100, pause: 900 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := locallimiter.New(1)
+			now := time.Unix(1000, 0)
+			l.Configure(now, []chivegauge.Workspace{{
+				Name:          "golf",
+				RatePerSecond: rate,
+				Burst:         burst,
+			}}, 1)
+			uses := []use{}
+			for range 300 {
+				now = now.Add(tt.pause)
+				taken, _ := l.Acquire(now, "golf", 1)
+				uses = append(uses, use{at: now, tokens: taken})
+				ahead := l.AcquireAhead(now, "golf", tt.ahead, now.Add(hold))
+				is.True(ahead <= burst/2)
+				uses = append(uses, use{at: now.Add(hold), tokens: ahead})
+			}
+			for _, from := range uses {
+				for _, window := range []time.Duration{time.Millisecond, time.Second, 5 * time.Second} {
+					used := 0
+					for _, u := range uses {
+						if !u.at.Before(from.at) && u.at.Before(from.at.Add(window)) {
+							used += u.tokens
+						}
+					}
+					is.True(float64(used) <= burst+rate*window.Seconds()+1)
+				}
+			}
+		})
+	}
+}
--- a/internal/request/clusterlimiter/clusterlimiter.go
+++ b/internal/request/clusterlimiter/clusterlimiter.go
@@ -54,6 +54,9 @@
 	// Count is the number of tokens requested; with 0 the request only checks whether the node is reachable.
 	Count int `json:"Want"`
 
+	// Ahead is the number of tokens that the node would use within aheadTime after the request.
+	Ahead int `json:",omitempty"`
+
 	// Relays is the number of nodes that relayed the request because they were mistaken for the owner.
 	Relays int `json:",omitempty"`
 }
@@ -62,6 +65,9 @@
 type Grant struct {
 	Granted int
 	Wait    time.Duration
+
+	// Ahead is the number of tokens that may be used until aheadTime after the request was sent.
+	Ahead int `json:",omitempty"`
 }
 
 // Members is the list of the nodes that are alive.
@@ -111,14 +117,24 @@
 	queues      map[string]*queue
 	unreachable map[string]backoff
 	owns        map[string]bool
+	owners      map[string]currentOwner
 	lastProbe   time.Time
 }
 
+// currentOwner is the owner of the bucket of a workspace as long as no node becomes reachable or unreachable, at most
+// until the end of a backoff; a zero time stands for no such end.
+type currentOwner struct {
+	member chivegauge.Member
+	until  time.Time
+}
+
 // queue holds the requests of one workspace that wait for tokens; no request is queued before emptyUntil.
 type queue struct {
 	waiting    []waiter
 	requesting bool
 	emptyUntil time.Time
+	reserve    reserve
+	demand     demand
 }
 
 // waiter is a request that has waited for a token since queuedAt.
@@ -146,6 +162,7 @@
 		queues:      map[string]*queue{},
 		unreachable: map[string]backoff{},
 		owns:        map[string]bool{},
+		owners:      map[string]currentOwner{},
 	}
 }
 
@@ -171,6 +188,7 @@
 
 // updateOwnership determines which workspaces' buckets this node owns; l.mu is held.
 func (l *clusterLimiter) updateOwnership() {
+	clear(l.owners)
 	self := l.members.Self().Address
 	for _, w := range l.workspaces {
 		l.setOwnership(w.Name, l.owner(w.Name).Address == self)
@@ -223,6 +241,13 @@
 		q = &queue{}
 		l.queues[workspace] = q
 	}
+	q.demand = q.demand.withRequest(now)
+	if rest, ok := q.reserve.take(now); ok {
+		q.reserve = rest
+		return nil, result{
+			ok: true,
+		}
+	}
 	if now.Before(q.emptyUntil) {
 		return nil, result{
 			wait: q.emptyUntil.Sub(now),
@@ -250,23 +275,31 @@
 			l.mu.Unlock()
 			return
 		}
+		sent := l.now()
+		ahead := q.demand.ahead(sent)
 		l.mu.Unlock()
 		g := l.requestTokens(ctx, TokenRequest{
 			Workspace: workspace,
 			Count:     count,
+			Ahead:     ahead,
 		})
-		if l.distribute(q, g) {
+		if l.distribute(q, g, sent) {
 			time.Sleep(g.Wait)
 		}
 	}
 }
 
 // distribute gives the granted tokens to the requests that were queued first, refuses those that would wait longer than
-// waitMax, and reports whether requests remain in the queue.
-func (l *clusterLimiter) distribute(q *queue, g Grant) bool {
+// waitMax, and reports whether requests remain in the queue. It keeps the tokens that were granted ahead, in response to a
+// token request that was sent at the given time.
+func (l *clusterLimiter) distribute(q *queue, g Grant, sent time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
+	q.reserve = reserve{
+		tokens: g.Ahead,
+		until:  sent.Add(aheadTime),
+	}
 	n := min(g.Granted, len(q.waiting))
 	for _, w := range q.waiting[:n] {
 		w.done <- result{
@@ -307,7 +340,7 @@
 // requestFromOwner requests tokens from the owner of the workspace's bucket, or reports that this node is the owner. An
 // owner that doesn't respond within the timeout is skipped until its backoff ends.
 func (l *clusterLimiter) requestFromOwner(ctx context.Context, tr TokenRequest, timeout time.Duration) (g Grant, self bool, err error) {
-	m := l.currentOwner(tr.Workspace)
+	m := l.ownerOf(tr.Workspace)
 	if m.Address == l.members.Self().Address {
 		return Grant{}, true, nil
 	}
@@ -319,8 +352,8 @@
 	return g, false, err
 }
 
-// currentOwner returns the owner of the workspace's bucket, and records whether it is this node.
-func (l *clusterLimiter) currentOwner(workspace string) chivegauge.Member {
+// ownerOf returns the owner of the workspace's bucket, and records whether it is this node.
+func (l *clusterLimiter) ownerOf(workspace string) chivegauge.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m := l.owner(workspace)
@@ -332,14 +365,27 @@
 // held.
 func (l *clusterLimiter) owner(workspace string) chivegauge.Member {
 	now := l.now()
+	if o, ok := l.owners[workspace]; ok && (o.until.IsZero() || now.Before(o.until)) {
+		return o.member
+	}
 	skip := func(m chivegauge.Member) bool { return now.Before(l.unreachable[m.Address].until) }
-	return chivegauge.Heaviest(l.members.Self(), l.members.Alive(), workspace, skip)
+	o := currentOwner{
+		member: chivegauge.Heaviest(l.members.Self(), l.members.Alive(), workspace, skip),
+	}
+	for _, b := range l.unreachable {
+		if now.Before(b.until) && (o.until.IsZero() || b.until.Before(o.until)) {
+			o.until = b.until
+		}
+	}
+	l.owners[workspace] = o
+	return o.member
 }
 
 // markUnreachable skips a node that didn't respond until its backoff ends.
 func (l *clusterLimiter) markUnreachable(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	clear(l.owners)
 	delay := min(backoffMax, max(backoffInitial, 2*l.unreachable[address].delay))
 	l.unreachable[address] = backoff{
 		until: l.now().Add(delay),
@@ -351,5 +397,9 @@
 func (l *clusterLimiter) MarkReachable(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if _, ok := l.unreachable[address]; !ok {
+		return
+	}
+	clear(l.owners)
 	delete(l.unreachable, address)
 }
--- a/internal/request/clusterlimiter/granting.go
+++ b/internal/request/clusterlimiter/granting.go
@@ -34,16 +34,24 @@
 	defer l.mu.Unlock()
 	l.setOwnership(tr.Workspace, true)
 	l.probePreferred(tr.Workspace)
-	granted, wait := l.owned.Acquire(l.now(), tr.Workspace, tr.Count)
-	return Grant{
+	now := l.now()
+	granted, wait := l.owned.Acquire(now, tr.Workspace, tr.Count)
+	g := Grant{
 		Granted: granted,
 		Wait:    wait,
 	}
+	if granted == tr.Count {
+		g.Ahead = l.owned.AcquireAhead(now, tr.Workspace, tr.Ahead, now.Add(aheadTime))
+	}
+	return g
 }
 
 // probePreferred checks in the background whether the preferred owner of the workspace's bucket, the node with the
 // highest rendezvous hash, is reachable again; l.mu is held.
 func (l *clusterLimiter) probePreferred(workspace string) {
+	if len(l.unreachable) == 0 {
+		return
+	}
 	preferred := chivegauge.Heaviest(l.members.Self(), l.members.Alive(), workspace, func(chivegauge.Member) bool { return false })
 	now := l.now()
 	if _, skipped := l.unreachable[preferred.Address]; !skipped || now.Sub(l.lastProbe) < probeInterval {
@@ -73,5 +81,6 @@
 		}
 	}
 	tr.Count = allowed
+	tr.Ahead = 0 // its own requests need no message
 	return l.grantOwned(tr)
 }
--- a/member.go
+++ b/member.go
@@ -83,7 +83,12 @@
 
 // Weight returns the member's weight for the key in rendezvous hashing.
 func (m Member) Weight(key string) uint64 {
-	return xxhash.Sum64String(m.Address + "|" + key)
+	h := xxhash.Digest{}
+	h.Reset()
+	_, _ = h.WriteString(m.Address)
+	_, _ = h.WriteString("|")
+	_, _ = h.WriteString(key)
+	return h.Sum64()
 }
 
 // Heaviest returns the member with the highest weight for the key, among self and those others for which skip returns
