Spend fewer allocations on a forwarded request

Cause: the header fields of a call were set one by one, each with a slice of its own, fields with their zero value included; a response of known length was copied through a growing buffer; each exchange made a raw connection for its check.

Change: the fields share one slice and are left out if empty (a node without this change reads them as empty), a body of known length is read at once, and the raw connection is kept.

--- a/internal/app/assembler/broken_test.go
+++ b/internal/app/assembler/broken_test.go
@@ -37,7 +37,7 @@
 }
 
 func (f framedBody) response(id string) string {
-	return "HTTP/1.1 200 OK\r\n" + chivegauge.OwnHeaderNames().Attempt + ": " + id + "\r\n" + f.head + "\r\n" + f.sent
+	return "HTTP/1.1 200 OK\r\n" + headerNames().Attempt + ": " + id + "\r\n" + f.head + "\r\n" + f.sent
 }
 
 // cuts returns the numbers of bytes after which a response of that framing breaks off: all within a short one, some
@@ -79,7 +79,7 @@
 					if len(parts) < 5 { // a message between nodes
 						return nil
 					}
-					text := framedBodies[parts[2]].response(r.Header.Get(chivegauge.OwnHeaderNames().Attempt))
+					text := framedBodies[parts[2]].response(r.Header.Get(headerNames().Attempt))
 					missing, err := strconv.Atoi(parts[3])
 					if err != nil {
 						_, _ = io.WriteString(nc, text)
@@ -163,7 +163,7 @@
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+n.callers+path, http.NoBody)
 	is.New(t).NoErr(err)
 	req.Host = "a.example"
-	req.Header.Set(chivegauge.OwnHeaderNames().Attempt, "1")
+	req.Header.Set(headerNames().Attempt, "1")
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, "", err
--- a/internal/app/assembler/crash_test.go
+++ b/internal/app/assembler/crash_test.go
@@ -25,7 +25,7 @@
 }
 
 // brokeOff is the response of a node whose backend server broke off.
-const brokeOff = "HTTP/1.1 502 Bad Gateway\r\nChivegauge-Request: 1\r\nChivegauge-Code: OutcomeUnknown\r\nChivegauge-Run: MayHaveRun\r\nContent-Length: 0\r\n\r\n"
+const brokeOff = "HTTP/1.1 502 Bad Gateway\r\nAttempt-Id: 1\r\nChivegauge-Code: OutcomeUnknown\r\nChivegauge-Run: MayHaveRun\r\nContent-Length: 0\r\n\r\n"
 
 // newDyingNode starts a dying node that writes the response before it ends.
 func newDyingNode(t *testing.T, group *errgroup.Group, response string) *dyingNode {
@@ -122,7 +122,7 @@
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.callers+path, http.NoBody)
 	is.New(t).NoErr(err)
 	req.Host = "a.example"
-	req.Header.Set(chivegauge.OwnHeaderNames().Attempt, "1")
+	req.Header.Set(headerNames().Attempt, "1")
 	req.Close = true
 	res, err := http.DefaultClient.Do(req)
 	is.New(t).NoErr(err)
--- a/internal/app/assembler/stop_test.go
+++ b/internal/app/assembler/stop_test.go
@@ -101,8 +101,15 @@
 	return s.records[address].Member.State
 }
 
+// headerNames returns header names of which the one of attempts is passed on to other nodes and to backend servers.
+func headerNames() chivegauge.HeaderNames {
+	names := chivegauge.OwnHeaderNames()
+	names.Attempt = "Attempt-Id"
+	return names
+}
+
 // freeAddress returns an address on which nothing listens.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	defer func() { is.New(t).NoErr(l.Close()) }()
@@ -118,8 +125,8 @@
 }
 
 // newTestNode starts a node beside a backend server of the service "booking".
-func newTestNode(t *testing.T, s *store, group *errgroup.Group) *testNode {
-	names := chivegauge.OwnHeaderNames()
+func newTestNode(t testing.TB, s *store, group *errgroup.Group) *testNode {
+	names := headerNames()
 	backend, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	server := &http.Server{
@@ -138,7 +145,7 @@
 }
 
 // newTestNodeBeside starts a node beside a backend server of the service "booking" at the address.
-func newTestNodeBeside(t *testing.T, s *store, group *errgroup.Group, backendAddress string) *testNode {
+func newTestNodeBeside(t testing.TB, s *store, group *errgroup.Group, backendAddress string) *testNode {
 	settings := assembler.Settings{
 		Name: "node",
 		Member: chivegauge.Member{
@@ -147,7 +154,7 @@
 		},
 		CallerAddress:  freeAddress(t),
 		BackendAddress: backendAddress,
-		Names:          chivegauge.OwnHeaderNames(),
+		Names:          headerNames(),
 		MemoryBytes:    1 << 30,
 		RetryWindow:    time.Second,
 		Log:            io.Discard,
@@ -179,7 +186,7 @@
 	}
 }
 
-func await(t *testing.T, done func() bool) {
+func await(t testing.TB, done func() bool) {
 	t.Helper()
 	for began := time.Now(); !done(); time.Sleep(time.Millisecond) {
 		if time.Since(began) > testTimeout {
@@ -193,7 +200,7 @@
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+n.callers+"/read/x", http.NoBody)
 	is.New(t).NoErr(err)
 	req.Host = "a.example"
-	req.Header.Set(chivegauge.OwnHeaderNames().Attempt, id)
+	req.Header.Set(headerNames().Attempt, id)
 	req.Close = true
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/internal/stream/connector/broken_test.go
+++ b/internal/stream/connector/broken_test.go
@@ -96,6 +96,29 @@
 	return response, string(body), err
 }
 
+// TestResponseToHead checks that a response to a HEAD request has no body, whatever length it states.
+func TestResponseToHead(t *testing.T) {
+	for name, length := range map[string]string{"no length": "", "empty": "Content-Length: 0\r\n", "some bytes": "Content-Length: 14\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := connect(t, start(t, func(_ int, _ *http.Request, nc net.Conn) bool {
+				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nAttempt: 1\r\n"+length+"\r\n")
+				return true
+			}))
+			for range 2 { // the second one over the same connection
+				r := brokenRequest()
+				r.Method = http.MethodHead
+				response, err := c.Exchange(context.Background(), r)
+				is.NoErr(err)
+				body, err := io.ReadAll(response.Body)
+				is.NoErr(err)
+				is.Equal(len(body), 0)
+				response.Release()
+			}
+		})
+	}
+}
+
 // FuzzResponse checks that a response is taken for a whole one only if the bytes of the backend server, up to the end of
 // the connection, hold a head and the body that it states.
 func FuzzResponse(f *testing.F) {
--- a/internal/stream/connector/conn.go
+++ b/internal/stream/connector/conn.go
@@ -41,6 +41,7 @@
 type conn struct {
 	owner       *connector
 	nc          net.Conn
+	raw         syscall.RawConn // nil if the connection is no socket
 	limited     *io.LimitedReader
 	br          *bufio.Reader
 	bw          *bufio.Writer
@@ -56,7 +57,7 @@
 		R: nc,
 		N: unlimitedBytes,
 	}
-	return &conn{
+	k := &conn{
 		owner:       c,
 		nc:          nc,
 		limited:     limited,
@@ -64,6 +65,11 @@
 		bw:          bufio.NewWriterSize(nc, writeBufferBytes),
 		idleTimeout: c.cfg.IdleTimeout,
 	}
+	if sc, ok := nc.(syscall.Conn); ok {
+		// Without the socket, an idle connection is used without a check.
+		k.raw, _ = sc.SyscallConn()
+	}
+	return k
 }
 
 // reusable reports whether the idle connection is open and no data has arrived on it.
@@ -71,16 +77,11 @@
 	if k.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := k.nc.(syscall.Conn)
-	if !ok {
+	if k.raw == nil {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
 	empty := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := k.raw.Read(func(fd uintptr) bool {
 		b := [1]byte{}
 		_, err := syscall.Read(int(fd), b[:])
 		empty = errors.Is(err, syscall.EAGAIN)
@@ -117,15 +118,14 @@
 
 // writeRequest writes the request; a streamed body is written in the background while the response is read.
 func (k *conn) writeRequest(r *streamer.Request) *upload {
+	r.Rewind()
 	u := &upload{
-		done: make(chan struct{}),
+		err: encoder.WriteRequest(k.bw, r),
 	}
-	r.Rewind()
-	u.err = encoder.WriteRequest(k.bw, r)
 	if u.err != nil || r.Buffered() {
-		close(u.done)
 		return u
 	}
+	u.done = make(chan struct{})
 	u.group.Go(func() {
 		defer close(u.done)
 		u.err = encoder.WriteBody(k.bw, r.Body, r.Length)
@@ -136,7 +136,7 @@
 	return u
 }
 
-// upload is the state of writing a request; err may be read once done is closed.
+// upload is the state of writing a request; err may be read once done, unless it is nil, is closed.
 type upload struct {
 	group sync.WaitGroup
 	done  chan struct{}
@@ -145,12 +145,14 @@
 
 // complete reports whether the whole request has been written.
 func (u *upload) complete() bool {
-	select {
-	case <-u.done:
-		return u.err == nil
-	default:
-		return false
+	if u.done != nil {
+		select {
+		case <-u.done:
+		default:
+			return false
+		}
 	}
+	return u.err == nil
 }
 
 // readResponse reads responses up to the one to the request, identified by the attempt header; as the first response on
@@ -205,6 +207,18 @@
 // to be complete, and its connection is free again before the response is returned.
 func (k *conn) bufferBody(response *streamer.Response, b *body) (*streamer.Response, error) {
 	limit := k.owner.cfg.BodyBufferBytes
+	if response.Length > 0 && response.Length <= limit && b.res.Body != http.NoBody {
+		p := make([]byte, response.Length)
+		if _, err := io.ReadFull(b, p); err != nil {
+			_ = b.Close()
+			return nil, err
+		}
+		if err := b.Close(); err != nil {
+			return nil, err
+		}
+		response.SetBody(p)
+		return response, nil
+	}
 	size := int64(0)
 	if response.Length > 0 {
 		size = min(response.Length, limit)
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -303,21 +303,28 @@
 // backendRequest returns the request to send to the backend server: without credentials and internal headers of the
 // caller, and with the headers of the node.
 func (e *executor) backendRequest(c chivegauge.Call, r *streamer.Request, report Report, now time.Time) *streamer.Request {
+	fields := [...]chivegauge.HeaderField{
+		{Name: e.Names.Workspace, Value: c.Workspace},
+		{Name: e.Names.Caller, Value: c.Caller},
+		{Name: e.Names.Expected, Value: report.Instance},
+		{Name: e.Names.BudgetMs, Value: strconv.FormatInt(remainingBudget(c, now).Milliseconds(), 10)},
+	}
 	out := *r
-	out.Header = make(http.Header, len(r.Header)+4)
+	out.Header = make(http.Header, len(r.Header)+len(fields))
 	for name, values := range r.Header {
 		if !chivegauge.InternalHeader(name) {
 			out.Header[name] = values
 		}
 	}
-	out.Header.Del("Authorization")
-	out.Header.Del(e.Names.Workspace)
-	if c.Workspace != "" {
-		out.Header.Set(e.Names.Workspace, c.Workspace)
+	delete(out.Header, "Authorization")
+	delete(out.Header, e.Names.Workspace)
+	values := make([]string, len(fields))
+	for i, f := range fields {
+		if f.Value != "" || f.Name != e.Names.Workspace {
+			values[i] = f.Value
+			out.Header[f.Name] = values[i : i+1 : i+1]
+		}
 	}
-	out.Header.Set(e.Names.Caller, c.Caller)
-	out.Header.Set(e.Names.Expected, report.Instance)
-	out.Header.Set(e.Names.BudgetMs, strconv.FormatInt(remainingBudget(c, now).Milliseconds(), 10))
 	return &out
 }
 
--- a/internal/stream/transporter/wire.go
+++ b/internal/stream/transporter/wire.go
@@ -22,24 +22,42 @@
 	headerArrived    = chivegauge.HeaderPrefix + "Arrived"
 )
 
-// encodeCall returns a copy of the header with the fields of the call added; the deadline is sent as the time budget
-// that is left at now.
+// encodeCall returns a copy of the header with the fields of the call added, but for those with their zero value; the
+// deadline is sent as the time budget that is left at now.
 func encodeCall(now time.Time, c chivegauge.Call, from http.Header) http.Header {
-	h := make(http.Header, len(from)+8)
+	fields := [...]chivegauge.HeaderField{
+		{Name: chivegauge.HeaderRoute, Value: c.Route},
+		{Name: headerService, Value: c.Service},
+		{Name: chivegauge.HeaderWorkspace, Value: c.Workspace},
+		{Name: chivegauge.HeaderImportance, Value: c.Importance.String()},
+		{Name: chivegauge.HeaderBudgetMs, Value: strconv.FormatInt(c.Budget(now).Milliseconds(), 10)},
+		{Name: headerIdempotent, Value: flag(c.Idempotent)},
+		{Name: headerCaller, Value: c.Caller},
+		{Name: headerTrial, Value: flag(c.Trial)},
+	}
+	h := make(http.Header, len(from)+len(fields))
 	for name, values := range from {
 		h[name] = values
 	}
-	h.Set(chivegauge.HeaderRoute, c.Route)
-	h.Set(headerService, c.Service)
-	h.Set(chivegauge.HeaderWorkspace, c.Workspace)
-	h.Set(chivegauge.HeaderImportance, c.Importance.String())
-	h.Set(chivegauge.HeaderBudgetMs, strconv.FormatInt(c.Budget(now).Milliseconds(), 10))
-	h.Set(headerIdempotent, strconv.FormatBool(c.Idempotent))
-	h.Set(headerCaller, c.Caller)
-	h.Set(headerTrial, strconv.FormatBool(c.Trial))
+	values := make([]string, len(fields))
+	for i, f := range fields {
+		delete(h, f.Name)
+		if f.Value != "" {
+			values[i] = f.Value
+			h[f.Name] = values[i : i+1 : i+1]
+		}
+	}
 	return h
 }
 
+// flag returns the value of a header that is left out if it is false.
+func flag(on bool) string {
+	if on {
+		return "true"
+	}
+	return ""
+}
+
 // decodeCall returns the call that encodeCall added to the header; its deadline is the received time budget after now.
 func decodeCall(now time.Time, id string, h http.Header) (chivegauge.Call, error) {
 	c := chivegauge.Call{
