Take no member for new when the node itself is

For 10 s after a node starts, and so after a loss of power everywhere, all members were new to it, and their use counted up to fivefold: differences of a few requests outweighed the zone.

Change: members that are seen within 10 s after a node's first pick are not new; those that join later are.

Test: TestOwnZoneAfterStart failed before. Hop-by-hop headers are recognised without a copy of each name.

--- a/header.go
+++ b/header.go
@@ -34,22 +34,27 @@
 	return len(name) >= len(HeaderPrefix) && strings.EqualFold(name[:len(HeaderPrefix)], HeaderPrefix)
 }
 
-var hopByHopHeaders = map[string]bool{
-	"connection":          true,
-	"content-length":      true,
-	"keep-alive":          true,
-	"proxy-authenticate":  true,
-	"proxy-authorization": true,
-	"proxy-connection":    true,
-	"te":                  true,
-	"trailer":             true,
-	"transfer-encoding":   true,
-	"upgrade":             true,
+var hopByHopHeaders = [...]string{
+	"Connection",
+	"Content-Length",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
 }
 
 // HopByHopHeader reports whether the header is hop-by-hop: it applies to one connection and must not be forwarded.
 func HopByHopHeader(name string) bool {
-	return hopByHopHeaders[strings.ToLower(name)]
+	for _, h := range hopByHopHeaders {
+		if len(name) == len(h) && strings.EqualFold(name, h) {
+			return true
+		}
+	}
+	return false
 }
 
 // callerHeaders are the headers that only the node itself evaluates.
--- a/internal/policy/picker/picker.go
+++ b/internal/policy/picker/picker.go
@@ -20,7 +20,7 @@
 	failureHalfLife = 2 * time.Second
 
 	// The usage of a member is multiplied by 1+slowStartFactor when the member is first seen; the factor falls to 1 over
-	// slowStart.
+	// slowStart. Members that are seen within slowStart after the first pick are not new: the node is.
 	slowStart       = 10 * time.Second
 	slowStartFactor = 4.0
 
@@ -95,9 +95,10 @@
 }
 
 type picker struct {
-	zone   string
-	region string
-	states map[string]*state
+	zone      string
+	region    string
+	firstPick time.Time
+	states    map[string]*state
 
 	// groups holds the groups of the list of each service, by the service.
 	groups map[string]*groups
@@ -147,6 +148,9 @@
 	if len(members) == 0 {
 		return best, false
 	}
+	if p.firstPick.IsZero() {
+		p.firstPick = now
+	}
 	g := p.groupsOf(members)
 	skipEjected := p.skipEjected(now, g)
 	usable := func(m chivegauge.Member) bool {
@@ -224,6 +228,9 @@
 	s := p.state(m.Address)
 	if s.firstSeen.IsZero() {
 		s.firstSeen = now
+		if now.Sub(p.firstPick) < slowStart {
+			s.firstSeen = now.Add(-slowStart)
+		}
 	}
 	limit := assumedLimit
 	reported := 0
--- a/internal/policy/picker/picker_test.go
+++ b/internal/policy/picker/picker_test.go
@@ -178,3 +178,45 @@
 		})
 	}
 }
+
+// TestOwnZoneAfterStart checks that a node which has just started, as all nodes have after a loss of power, keeps requests
+// in its zone while the members there have room, and that a member which joins later gets few at first.
+func TestOwnZoneAfterStart(t *testing.T) {
+	tests := map[string]struct {
+		running int           // of 100 in the own zone, 10 in the other
+		started time.Duration // before the pick
+		joined  time.Duration // when the member in the own zone was first seen, after the start
+		picked  string
+	}{
+		"at the start":                {running: 25, picked: "near"},
+		"at the start, busy":          {running: 60, picked: "far"},
+		"a minute later":              {running: 25, started: time.Minute, picked: "near"},
+		"a minute later, just joined": {running: 25, started: time.Minute, joined: time.Minute, picked: "far"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			start := time.Unix(1000, 0)
+			now := start.Add(tt.started)
+			near := member("near", "sw-1")
+			far := member("far", "sw-2")
+			p := picker.New("sw-1", "sw")
+			random := rand.New(rand.NewPCG(1, 1)).IntN
+			before := []chivegauge.Member{near, far}
+			if tt.joined > 0 {
+				before = []chivegauge.Member{far}
+			}
+			p.Pick(start, before, nil, random)
+			for address, running := range map[string]int{"near": tt.running, "far": 10} {
+				p.Begin(address)
+				p.End(now, address, picker.Succeeded, picker.Load{
+					Running: running,
+					Limit:   100,
+				})
+			}
+			m, ok := p.Pick(now, []chivegauge.Member{near, far}, nil, random)
+			is.True(ok)
+			is.Equal(m.Address, tt.picked)
+		})
+	}
+}
