--- a/internal/app/assembler/benchmark_test.go
+++ b/internal/app/assembler/benchmark_test.go
@@ -39,6 +39,7 @@
 		is.NoErr(err)
 		_, err = io.Copy(io.Discard, res.Body)
 		is.NoErr(err)
+		is.NoErr(res.Body.Close())
 		return res.StatusCode
 	}
 	await(b, func() bool { return exchange() == http.StatusOK })
--- a/internal/policy/picker/picker.go
+++ b/internal/policy/picker/picker.go
@@ -154,7 +154,7 @@
 	g := p.groupsOf(members)
 	skipEjected := p.skipEjected(now, g)
 	usable := func(m chivegauge.Member) bool {
-		return m.Serving() && !contains(tried, m.Address) && !(skipEjected && p.ejected(now, m.Address))
+		return m.Serving() && !contains(tried, m.Address) && (!skipEjected || !p.ejected(now, m.Address))
 	}
 	for _, group := range [...][]chivegauge.Member{g.sameZone, g.otherZones} {
 		c := choose(group, usable, random)
