Read the whole request in the test's backend server before it closes

The test's backend server read only the head of the request and closed; the end of the request's body was unread then, so that the connection was reset, and a reset response is rightly not taken for whole.

Change: the test's backend server reads the request to its end. The check is as it was.

--- a/internal/request/executor/broken_test.go
+++ b/internal/request/executor/broken_test.go
@@ -50,6 +50,17 @@
 	}
 }
 
+// readRequest reads a request with its body, and reports whether there was one: closing a connection with unread bytes
+// resets it.
+func readRequest(br *bufio.Reader) bool {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return err == nil
+}
+
 // sendBroken sends a call to a backend server that responds with the text and breaks off, after a whole response on the
 // same connection if it is kept.
 func sendBroken(t *testing.T, text string, kept, reset bool) (chivegauge.Response, *chivegauge.Refusal) {
@@ -65,12 +76,12 @@
 		defer func() { _ = nc.Close() }()
 		br := bufio.NewReader(nc)
 		if kept {
-			if _, err := http.ReadRequest(br); err != nil {
+			if !readRequest(br) {
 				return
 			}
 			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
 		}
-		if _, err := http.ReadRequest(br); err != nil {
+		if !readRequest(br) {
 			return
 		}
 		_, _ = io.WriteString(nc, text)
