--- a/internal/app/assembler/crash_test.go
+++ b/internal/app/assembler/crash_test.go
@@ -25,7 +25,7 @@
 }
 
 // brokeOff is the response of a node whose backend server broke off.
-const brokeOff = "HTTP/1.1 502 Bad Gateway\r\nAttempt-Id: 1\r\nChivegauge-Code: OutcomeUnknown\r\nChivegauge-Run: MayHaveRun\r\nContent-Length: 0\r\n\r\n"
+const brokeOff = "HTTP/1.1 502 Bad Gateway\r\nAttempt-Id: 1\r\nChivegauge-Code: OutcomeUnknown\r\nChivegauge-Run: MayHaveRun\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // newDyingNode starts a dying node that writes the response before it ends.
 func newDyingNode(t *testing.T, group *errgroup.Group, response string) *dyingNode {
