Log the configuration by which a request was admitted

The version and the age are now kept with the call. TestLogNamesDecidingVersion failed before: 2 != 1.

--- a/call.go
+++ b/call.go
@@ -45,6 +45,11 @@
 	// ran them.
 	Trial bool
 
+	// ConfigVersion is the version of the configuration by which the call was admitted, and ConfigAge how long before that
+	// it had last been verified as the newest; other nodes don't receive them.
+	ConfigVersion uint64
+	ConfigAge     time.Duration
+
 	// Caller is the service of the instance that made the call.
 	Caller string
 
--- a/internal/stream/forwarder/admit.go
+++ b/internal/stream/forwarder/admit.go
@@ -23,6 +23,7 @@
 	if !ok {
 		return c, 0, chivegauge.Refuse(chivegauge.CodeNotReady, "the node has no configuration yet").WithRetryAfter(wholeMillis(refusalRetryAfter))
 	}
+	c.ConfigVersion = cfg.Version()
 	route, ok := cfg.Route(r.Host, r.Method, r.Target)
 	if !ok {
 		return c, 0, chivegauge.Refuse(chivegauge.CodeRouteUnknown, "no route serves this host and path")
@@ -68,8 +69,9 @@
 	if key == "" && (route.Open || len(cfg.Workspaces()) == 0) {
 		return nil
 	}
-	if age := f.Config.Config.Age(); !route.Open && age > f.VerificationAgeMax() {
-		return chivegauge.Refuse(chivegauge.CodeNotReady, "the keys were proved valid "+age.Round(time.Millisecond).String()+" ago").WithRetryAfter(wholeMillis(refusalRetryAfter))
+	c.ConfigAge = f.Config.Config.Age()
+	if !route.Open && c.ConfigAge > f.VerificationAgeMax() {
+		return chivegauge.Refuse(chivegauge.CodeNotReady, "the keys were proved valid "+c.ConfigAge.Round(time.Millisecond).String()+" ago").WithRetryAfter(wholeMillis(refusalRetryAfter))
 	}
 	w, ok := cfg.WorkspaceByKey(key)
 	if !ok && route.Open {
--- a/internal/stream/forwarder/forwarder_test.go
+++ b/internal/stream/forwarder/forwarder_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"testing"
@@ -33,6 +34,7 @@
 	responses    []func() *streamer.Response
 	calls        []chivegauge.Call
 	requests     []*streamer.Request
+	log          zerolog.Logger
 }
 
 func (p *fakeParts) Router() (router.Router, bool) { return p.router, p.router != nil }
@@ -151,7 +153,7 @@
 		DownstreamLimit:      p,
 		RetryBudget:          budgeter.NewWindow(ratios, 0, time.Minute),
 		Meter:                p,
-		Log:                  zerolog.Nop(),
+		Log:                  p.log,
 		BodyBufferMax:        1000,
 		TransparentRetryTime: 150 * time.Millisecond,
 		VerificationAgeMax:   func() time.Duration { return 4 * time.Second },
@@ -220,6 +222,29 @@
 	}
 }
 
+// TestLogNamesDecidingVersion checks that the log names the configuration by which a request was admitted, also if
+// another one became active while the request ran.
+func TestLogNamesDecidingVersion(t *testing.T) {
+	is := is.New(t)
+	log := &bytes.Buffer{}
+	p := newFakeParts(respond(http.StatusOK))
+	p.log = zerolog.New(log)
+	p.age = 1500 * time.Millisecond
+	answer := p.responses[0]
+	p.responses[0] = func() *streamer.Response {
+		p.router = router.New(router.Document{
+			Version: 2,
+		})
+		p.age = 0
+		return answer()
+	}
+	p.forwarder(1).Handle(context.Background(), request("/read/1", "k1"))
+	line := map[string]any{}
+	is.NoErr(json.Unmarshal(log.Bytes(), &line))
+	is.Equal(line["ConfigVersion"], 1.0)
+	is.Equal(line["ProofAgeMs"], 1500.0)
+}
+
 // TestTrialIsSentOnce checks that a request on trial is marked as such and is not sent again.
 func TestTrialIsSentOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/stream/forwarder/outcome.go
+++ b/internal/stream/forwarder/outcome.go
@@ -54,16 +54,12 @@
 	if e == nil {
 		return
 	}
-	version := uint64(0)
-	if cfg, ok := f.Config.Config.Router(); ok {
-		version = cfg.Version()
-	}
 	if c.Workspace != "" {
-		e.Dur("ProofAgeMs", f.Config.Config.Age())
+		e.Dur("ProofAgeMs", c.ConfigAge)
 	}
 	if len(tried) > 0 {
 		e.Int("Attempts", len(tried)).Str("Member", tried[len(tried)-1])
 	}
 	e.Str("Request", c.RequestID).Str("Route", c.Route).Str("Service", c.Service).Str("Workspace", c.Workspace).
-		Uint64("ConfigVersion", version).Int("Status", response.Status).Dur("TookMs", took).Msg("request answered")
+		Uint64("ConfigVersion", c.ConfigVersion).Int("Status", response.Status).Dur("TookMs", took).Msg("request answered")
 }
