Log and measure how a configuration came and how late it may be

A line for a configuration in force named only its version. It now names the call that brought it, the node it came from, the age of its verification, and LateAtMostMs, the time since an older version was last verified, which bounds how long ago the change was made; a histogram holds the same. A change that a watch passed over and a read found gets a line of its own. The parts of a syncer are handed over in one value, its clock among them.

--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -182,7 +182,14 @@
 		StaleMax:      listStaleMax,
 		RetryMax:      storeRetryMax,
 	}, stores.Records, c, own, n.log)
-	n.config = syncer.New(syncerConfig(s.Bounds.KeyLifetime), stores.Configuration, n.members, c, n.log)
+	n.config = syncer.New(syncerConfig(s.Bounds.KeyLifetime), syncer.Parts{
+		Now:     timekeeper.Now,
+		Source:  stores.Configuration,
+		Members: n.members,
+		Peers:   c,
+		Meter:   n.meter,
+		Log:     n.log,
+	})
 	initial := restartBurstFraction
 	if s.FirstStart {
 		initial = 1
--- a/internal/cluster/syncer/peers.go
+++ b/internal/cluster/syncer/peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/chivegauge/chivegauge"
-	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 	"github.com/chivegauge/chivegauge/internal/request/router"
 )
 
@@ -38,23 +37,23 @@
 	if _, ok := s.Router(); !ok {
 		return chivegauge.Member{}, false
 	}
-	self := s.members.Self()
-	now := timekeeper.Now()
+	self := s.Members.Self()
+	now := s.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	skip := func(m chivegauge.Member) bool { return m.Zone != self.Zone || now.Before(s.skipUntil[m.Address]) }
-	best := chivegauge.Heaviest(self, s.members.Alive(), readerKey, skip)
+	best := chivegauge.Heaviest(self, s.Members.Alive(), readerKey, skip)
 	return best, best.Address != self.Address
 }
 
 // randomPeer returns a random node of any zone; a node whose poll failed within skipTime is left out.
 func (s *syncer) randomPeer() (chivegauge.Member, bool) {
-	self := s.members.Self()
-	now := timekeeper.Now()
+	self := s.Members.Self()
+	now := s.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []chivegauge.Member
-	for _, m := range s.members.Alive() {
+	for _, m := range s.Members.Alive() {
 		if m.Address != self.Address && !now.Before(s.skipUntil[m.Address]) {
 			list = append(list, m)
 		}
@@ -76,13 +75,13 @@
 		return false
 	}
 	cfg := s.cfg.Load()
-	sent := timekeeper.Now()
+	sent := s.Now()
 	ctx, cancel := context.WithTimeout(ctx, cfg.PeerWait+cfg.PeerTimeout)
 	defer cancel()
-	snapshot, err := s.peers.Poll(ctx, m, r.Version(), cfg.PeerWait)
+	snapshot, err := s.Peers.Poll(ctx, m, r.Version(), cfg.PeerWait)
 	behind := err == nil && snapshot.Version < r.Version() // the other node is about to receive the newer version
 	if err != nil || snapshot.Age > cfg.PeerAgeMax || behind {
-		s.log.Info().Err(err).Str("Reader", m.Address).Dur("ProofAgeMs", snapshot.Age).Uint64("Version", snapshot.Version).Msg("no proof from another node")
+		s.Log.Info().Err(err).Str("Reader", m.Address).Dur("ProofAgeMs", snapshot.Age).Uint64("Version", snapshot.Version).Msg("no proof from another node")
 		if !behind {
 			s.skip(m.Address)
 		}
@@ -90,7 +89,12 @@
 	}
 	verifiedAt := sent.Add(-snapshot.Age)
 	if snapshot.Document != nil {
-		s.apply(*snapshot.Document, verifiedAt)
+		s.apply(*snapshot.Document, origin{
+			call:       callPoll,
+			sentAt:     sent,
+			peer:       m.Address,
+			verifiedAt: verifiedAt,
+		})
 	}
 	s.setVerified(verifiedAt)
 	return true
@@ -100,7 +104,7 @@
 func (s *syncer) skip(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.skipUntil[address] = timekeeper.Now().Add(skipTime)
+	s.skipUntil[address] = s.Now().Add(skipTime)
 }
 
 // setVerified records a verification, unless there is a later one.
@@ -136,7 +140,7 @@
 	defer s.mu.Unlock()
 	snapshot := Snapshot{
 		Version: s.document.Version,
-		Age:     timekeeper.Now().Sub(s.verifiedAt),
+		Age:     s.Now().Sub(s.verifiedAt),
 	}
 	if snapshot.Version > knownVersion {
 		d := s.document
--- a/internal/cluster/syncer/syncer.go
+++ b/internal/cluster/syncer/syncer.go
@@ -19,7 +19,12 @@
 // ReadResult is the result of a call to a source; Document is nil if nothing changed.
 type ReadResult struct {
 	Document *router.Document
+
+	// Revision is that of the source at the time of the call.
 	Revision uint64
+
+	// Changed is the revision of the last change of the document.
+	Changed uint64
 }
 
 // Source is the store of the configuration; a successful call verifies which version was the newest when the call was
@@ -31,6 +36,23 @@
 	Await(ctx context.Context, revision uint64, wait time.Duration) (ReadResult, error)
 }
 
+// Meter records how late changes become active.
+type Meter interface {
+	// RecordChangeDelay records an upper bound of the time from a change at the source to its use by this node.
+	RecordChangeDelay(bound time.Duration)
+}
+
+// Parts are what a syncer uses.
+type Parts struct {
+	// Now returns the present time, including time in which the instance was suspended.
+	Now     func() time.Time
+	Source  Source
+	Members Members
+	Peers   PeerClient
+	Meter   Meter
+	Log     zerolog.Logger
+}
+
 // Config holds the timeouts and backoffs of the calls to the source and to other nodes.
 type Config struct {
 	// PeerWait is how long another node waits for a change before it responds to a poll.
@@ -72,31 +94,27 @@
 }
 
 type syncer struct {
+	Parts
 	cfg         atomic.Pointer[Config]
-	source      Source
-	log         zerolog.Logger
 	subscribers []func(router.Router)
 	current     atomic.Pointer[router.Router]
 
-	members Members
-	peers   PeerClient
-
 	mu         sync.Mutex
 	verifiedAt time.Time
 	revision   uint64
-	failing    bool
-	document   router.Document
-	changed    chan struct{}
-	skipUntil  map[string]time.Time
+
+	// awaited is the highest revision up to which Await has reported all changes.
+	awaited   uint64
+	failing   bool
+	document  router.Document
+	changed   chan struct{}
+	skipUntil map[string]time.Time
 }
 
 // New returns a syncer without an active configuration.
-func New(cfg Config, src Source, m Members, c PeerClient, log zerolog.Logger) Syncer {
+func New(cfg Config, p Parts) Syncer {
 	s := &syncer{
-		source:    src,
-		members:   m,
-		peers:     c,
-		log:       log,
+		Parts:     p,
 		changed:   make(chan struct{}),
 		skipUntil: map[string]time.Time{},
 	}
@@ -128,7 +146,7 @@
 	s.mu.Lock()
 	verifiedAt := s.verifiedAt
 	s.mu.Unlock()
-	return timekeeper.Now().Sub(verifiedAt)
+	return s.Now().Sub(verifiedAt)
 }
 
 // Serve reads the configuration, then waits for its changes.
@@ -169,27 +187,55 @@
 
 // readSource makes one call to the source; the configuration is verified as of the time when the call was sent.
 func (s *syncer) readSource(ctx context.Context) error {
-	sent := timekeeper.Now()
-	result, err := s.callSource(ctx)
+	sent := s.Now()
+	result, call, err := s.callSource(ctx)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	s.revision = result.Revision
+	missed := call == callRead && result.Document != nil && result.Changed <= s.awaited && result.Document.Version > s.document.Version
+	if call == callAwait {
+		s.awaited = max(s.awaited, result.Revision)
+	}
 	failing := s.failing
 	s.failing = false
 	s.mu.Unlock()
+	if missed {
+		s.Log.Error().Uint64("Version", result.Document.Version).Uint64("Changed", result.Changed).Msg("the source had not reported a change that was awaited")
+	}
 	if result.Document != nil {
-		s.apply(*result.Document, sent)
+		s.apply(*result.Document, origin{
+			verifiedAt: sent,
+			sentAt:     sent,
+			call:       call,
+		})
 	}
 	s.setVerified(sent)
 	if failing {
-		s.log.Info().Uint64("Revision", result.Revision).Msg("configuration source regained")
+		s.Log.Info().Uint64("Revision", result.Revision).Msg("configuration source regained")
 	}
 	return nil
 }
 
-func (s *syncer) callSource(ctx context.Context) (ReadResult, error) {
+// The calls by which a configuration is received, as they are named in the log.
+const (
+	callRead  = "Read"
+	callAwait = "Await"
+	callPoll  = "Poll"
+)
+
+// origin says how a configuration was received: by which call, when that was sent, to which other node unless it was
+// sent to the source, and when the configuration was the newest.
+type origin struct {
+	call       string
+	sentAt     time.Time
+	peer       string
+	verifiedAt time.Time
+}
+
+// callSource makes one call to the source, and returns its result and which call it was.
+func (s *syncer) callSource(ctx context.Context) (ReadResult, string, error) {
 	s.mu.Lock()
 	revision := s.revision
 	s.mu.Unlock()
@@ -198,36 +244,56 @@
 	if !ok || revision == 0 {
 		ctx, cancel := context.WithTimeout(ctx, cfg.Timeout)
 		defer cancel()
-		return s.source.Read(ctx)
+		result, err := s.Source.Read(ctx)
+		return result, callRead, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, cfg.Wait+cfg.Timeout)
 	defer cancel()
-	return s.source.Await(ctx, revision, cfg.Wait)
+	result, err := s.Source.Await(ctx, revision, cfg.Wait)
+	return result, callAwait, err
 }
 
 // apply makes a newer configuration active, together with the time of its verification; an older one is ignored.
-func (s *syncer) apply(d router.Document, verifiedAt time.Time) {
+func (s *syncer) apply(d router.Document, from origin) {
 	old, ok := s.Router()
 	if ok && d.Version <= old.Version() {
 		if d.Version < old.Version() {
-			s.log.Warn().Uint64("Version", d.Version).Uint64("InForce", old.Version()).Msg("older configuration ignored")
+			s.Log.Warn().Uint64("Version", d.Version).Uint64("InForce", old.Version()).Msg("older configuration ignored")
 		}
 		return
 	}
 	r := router.New(d)
 	s.mu.Lock()
+	previous := s.verifiedAt
 	s.current.Store(&r)
 	s.document = d
-	s.setVerifiedLocked(verifiedAt)
+	s.setVerifiedLocked(from.verifiedAt)
 	close(s.changed)
 	s.changed = make(chan struct{})
 	s.mu.Unlock()
-	s.log.Info().Uint64("Version", d.Version).Int("Routes", len(d.Config.Routes)).Int("Workspaces", len(d.Config.Workspaces)).Msg("configuration in force")
+	s.logChange(d, from, previous)
 	for _, f := range s.subscribers {
 		f(r)
 	}
 }
 
+// logChange logs a configuration that became active, and records how late it may be: the change was made after the time
+// previous at which an older version was last verified as the newest, which is zero for the first configuration.
+func (s *syncer) logChange(d router.Document, from origin, previous time.Time) {
+	now := s.Now()
+	e := s.Log.Info().Uint64("Version", d.Version).Int("Routes", len(d.Config.Routes)).Int("Workspaces", len(d.Config.Workspaces)).
+		Str("Call", from.call).Dur("CallMs", now.Sub(from.sentAt)).Dur("ProofAgeMs", now.Sub(from.verifiedAt))
+	if from.peer != "" {
+		e.Str("From", from.peer)
+	}
+	if !previous.IsZero() {
+		late := now.Sub(previous)
+		s.Meter.RecordChangeDelay(late)
+		e.Dur("LateAtMostMs", late)
+	}
+	e.Msg("configuration in force")
+}
+
 // recordFailure makes the next call read the whole configuration; only the first failure in a row is logged, and an
 // expired revision is not a failure.
 func (s *syncer) recordFailure(err error) {
@@ -238,9 +304,9 @@
 		return
 	}
 	s.failing = true
-	e := s.log.Warn().Err(err)
+	e := s.Log.Warn().Err(err)
 	if !s.verifiedAt.IsZero() {
-		e.Dur("ProofAgeMs", timekeeper.Now().Sub(s.verifiedAt))
+		e.Dur("ProofAgeMs", s.Now().Sub(s.verifiedAt))
 	}
 	e.Msg("configuration source lost")
 }
--- a/internal/cluster/syncer/syncer_test.go
+++ b/internal/cluster/syncer/syncer_test.go
@@ -22,16 +22,24 @@
 
 	// ageMax is the verification age below which a configuration counts as recently verified.
 	ageMax = 200 * time.Millisecond
+
+	// latency is the time that a message takes one way.
+	latency = time.Millisecond
 )
 
-// source is a store that may be unreachable from some nodes.
+// source is a store that may be unreachable from some nodes: calls of disconnected nodes fail at once, those of cut ones
+// after their timeout, and while watches are mute, all nodes' watches do.
 type source struct {
 	mu           sync.Mutex
 	version      uint64
 	revision     uint64
+	oldest       uint64 // revisions below it have expired
+	skipped      uint64 // watches don't report changes up to it
 	changed      chan struct{}
 	reads        map[string]int
 	disconnected map[string]bool
+	cut          map[string]bool
+	mute         bool
 }
 
 func newSource() *source {
@@ -41,6 +49,7 @@
 		changed:      make(chan struct{}),
 		reads:        map[string]int{},
 		disconnected: map[string]bool{},
+		cut:          map[string]bool{},
 	}
 }
 
@@ -53,10 +62,15 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *source) disconnect(name string) {
+// update changes the state of the source.
+func (s *source) update(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.disconnected[name] = true
+	f()
+}
+
+func (s *source) disconnect(name string) {
+	s.update(func() { s.disconnected[name] = true })
 }
 
 func (s *source) count(name string) int {
@@ -71,7 +85,8 @@
 	name string
 }
 
-func (n nodeSource) reading(revision uint64) (syncer.ReadResult, error) {
+// result returns the document if it changed after the revision.
+func (n nodeSource) result(revision uint64) (syncer.ReadResult, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.disconnected[n.name] {
@@ -79,6 +94,7 @@
 	}
 	r := syncer.ReadResult{
 		Revision: n.revision,
+		Changed:  n.revision,
 	}
 	if n.revision > revision {
 		r.Document = &router.Document{
@@ -88,35 +104,61 @@
 	return r, nil
 }
 
-func (n nodeSource) Read(context.Context) (syncer.ReadResult, error) {
+// hang waits for the end of the call if the node is cut from the source.
+func (n nodeSource) hang(ctx context.Context, watch bool) error {
 	n.mu.Lock()
-	n.reads[n.name]++
+	hangs := n.cut[n.name] || watch && n.mute
 	n.mu.Unlock()
-	return n.reading(0)
+	if hangs {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+func (n nodeSource) Read(ctx context.Context) (syncer.ReadResult, error) {
+	time.Sleep(latency)
+	n.update(func() { n.reads[n.name]++ })
+	if err := n.hang(ctx, false); err != nil {
+		return syncer.ReadResult{}, err
+	}
+	time.Sleep(latency)
+	return n.result(0)
 }
 
 func (n nodeSource) Await(ctx context.Context, revision uint64, wait time.Duration) (syncer.ReadResult, error) {
+	time.Sleep(latency)
 	n.mu.Lock()
 	n.reads[n.name]++
 	changed := n.changed
 	newer := n.revision > revision
+	expired := revision < n.oldest
 	n.mu.Unlock()
-	if !newer {
+	if !newer && !expired {
 		select {
 		case <-changed:
 		case <-time.After(wait):
 		case <-ctx.Done():
 		}
 	}
-	return n.reading(revision)
+	if err := n.hang(ctx, true); err != nil {
+		return syncer.ReadResult{}, err
+	}
+	time.Sleep(latency)
+	if expired {
+		return syncer.ReadResult{}, syncer.ErrRevisionExpired
+	}
+	return n.result(max(revision, n.skipped))
 }
 
-// zone is a set of nodes that poll each other; a silent node does not respond.
+// zone is a set of nodes that poll each other; polls of a silent node fail at once, those of a hung one after their
+// timeout.
 type zone struct {
 	members []chivegauge.Member
 	nodes   map[string]syncer.Syncer
+	delays  *delays
 	mu      sync.Mutex
 	silent  map[string]bool
+	hung    map[string]bool
 }
 
 // nodeMembers is the set of nodes as seen by one of them.
@@ -129,20 +171,63 @@
 func (n nodeMembers) Alive() []chivegauge.Member { return n.members }
 
 func (n nodeMembers) Poll(ctx context.Context, m chivegauge.Member, knownVersion uint64, wait time.Duration) (syncer.Snapshot, error) {
+	time.Sleep(latency)
 	n.mu.Lock()
 	silent := n.silent[m.Address]
 	n.mu.Unlock()
 	if silent {
 		return syncer.Snapshot{}, errors.New("no response")
 	}
-	return n.nodes[m.Address].AnswerPoll(ctx, knownVersion, wait), nil
+	snapshot := n.nodes[m.Address].AnswerPoll(ctx, knownVersion, wait)
+	n.mu.Lock()
+	hung := n.hung[m.Address] || n.hung[n.self.Address]
+	n.mu.Unlock()
+	if hung {
+		<-ctx.Done()
+		return syncer.Snapshot{}, ctx.Err()
+	}
+	time.Sleep(latency)
+	return snapshot, nil
+}
+
+// delays is a meter that keeps the recorded delays of changes.
+type delays struct {
+	mu   sync.Mutex
+	list []time.Duration
+}
+
+func (d *delays) RecordChangeDelay(bound time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list = append(d.list, bound)
+}
+
+// testConfig returns short waits, with which a test in real time ends soon.
+func testConfig(peerAgeMax time.Duration) syncer.Config {
+	return syncer.Config{
+		Wait:        40 * time.Millisecond,
+		Timeout:     time.Second,
+		RetryFirst:  time.Millisecond,
+		RetryMax:    5 * time.Millisecond,
+		PeerWait:    20 * time.Millisecond,
+		PeerTimeout: time.Second,
+		PeerAgeMax:  peerAgeMax,
+	}
 }
 
 func start(t *testing.T, s *source, peerAgeMax time.Duration, names ...string) *zone {
+	t.Helper()
+	return startWith(t, s, testConfig(peerAgeMax), io.Discard, names...)
+}
+
+// startWith starts nodes that log to the writer; a name with a slash begins with the availability zone of the node.
+func startWith(t *testing.T, s *source, cfg syncer.Config, log io.Writer, names ...string) *zone {
 	t.Helper()
 	z := &zone{
 		nodes:  map[string]syncer.Syncer{},
 		silent: map[string]bool{},
+		hung:   map[string]bool{},
+		delays: &delays{},
 	}
 	for _, name := range names {
 		zone, _, _ := strings.Cut(name, "/")
@@ -161,18 +246,17 @@
 			zone: z,
 			self: m,
 		}
-		z.nodes[m.Address] = syncer.New(syncer.Config{
-			Wait:        40 * time.Millisecond,
-			Timeout:     time.Second,
-			RetryFirst:  time.Millisecond,
-			RetryMax:    5 * time.Millisecond,
-			PeerWait:    20 * time.Millisecond,
-			PeerTimeout: time.Second,
-			PeerAgeMax:  peerAgeMax,
-		}, nodeSource{
-			source: s,
-			name:   m.Address,
-		}, node, node, zerolog.New(io.Discard))
+		z.nodes[m.Address] = syncer.New(cfg, syncer.Parts{
+			Now: time.Now,
+			Source: nodeSource{
+				source: s,
+				name:   m.Address,
+			},
+			Members: node,
+			Peers:   node,
+			Meter:   z.delays,
+			Log:     zerolog.New(log).With().Str("Node", m.Address).Logger(),
+		})
 	}
 	for _, f := range z.nodes {
 		group.Go(func() { _ = f.Serve(ctx) })
--- a/internal/telemetry/meter/meter.go
+++ b/internal/telemetry/meter/meter.go
@@ -36,6 +36,8 @@
 	CountAttempt(refusal *chivegauge.Refusal)
 	// CountStoreCall counts one call to the platform's store by its method and result.
 	CountStoreCall(method string, err error)
+	// RecordChangeDelay records an upper bound of the time from a change of the configuration to its use by this node.
+	RecordChangeDelay(bound time.Duration)
 	// CountRestart counts one restart of a part of the node after a failure.
 	CountRestart(part string)
 	// Observe registers gauges, or returns an error if one can't be registered.
@@ -72,6 +74,7 @@
 	calls    metric.Int64Counter
 	restarts metric.Int64Counter
 	duration metric.Float64Histogram
+	delay    metric.Float64Histogram
 }
 
 // New returns a Meter, or an error if a metric can't be created.
@@ -109,6 +112,11 @@
 	if m.duration, err = m.meter.Float64Histogram("chivegauge.request.duration", metric.WithUnit("s"), bounds); err != nil {
 		return err
 	}
+	delayBounds := metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.25, 0.5, 0.75, 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 4, 5, 10)
+	if m.delay, err = m.meter.Float64Histogram("chivegauge.configuration.change.delay", metric.WithUnit("s"), delayBounds,
+		metric.WithDescription("Upper bound of the time from a change of the configuration to its use by this node")); err != nil {
+		return err
+	}
 	_, err = m.meter.Int64ObservableCounter("chivegauge.invariant.violations",
 		metric.WithDescription("Violations of invariants by name"),
 		metric.WithInt64Callback(observeViolations))
@@ -182,6 +190,11 @@
 	m.calls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("method", method), attribute.String("result", result)))
 }
 
+// RecordChangeDelay records an upper bound of the time from a change of the configuration to its use by this node.
+func (m *meter) RecordChangeDelay(bound time.Duration) {
+	m.delay.Record(context.Background(), bound.Seconds())
+}
+
 // CountRestart counts one restart of a part of the node.
 func (m *meter) CountRestart(part string) {
 	m.restarts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("part", part)))
--- a/internal/telemetry/meter/meter_test.go
+++ b/internal/telemetry/meter/meter_test.go
@@ -25,6 +25,7 @@
 	m.CountRequest("golf", "read", busy, time.Millisecond)
 	m.CountAttempt(nil)
 	m.CountAttempt(busy)
+	m.RecordChangeDelay(1900 * time.Millisecond)
 	m.CountStoreCall(http.MethodGet, nil)
 	m.CountStoreCall(http.MethodPut, errors.New("refused"))
 	is.NoErr(m.Observe(meter.Gauge{
@@ -45,6 +46,8 @@
 		"read":         {name: "chivegauge_store_calls_total", labels: []string{`method="GET"`, `result="Success"`}, value: "1"},
 		"failed write": {name: "chivegauge_store_calls_total", labels: []string{`method="PUT"`, `result="Failure"`}, value: "1"},
 		"times":        {name: "chivegauge_request_duration_seconds_count", labels: []string{`route="read"`}, value: "3"},
+		"in time":      {name: "chivegauge_configuration_change_delay_seconds_bucket", labels: []string{`le="2"`}, value: "1"},
+		"not sooner":   {name: "chivegauge_configuration_change_delay_seconds_bucket", labels: []string{`le="1.75"`}, value: "0"},
 		"gauge":        {name: "chivegauge_nodes", value: "3"},
 	}
 	for name, tt := range tests {
