Reproduce a change that is late behind a lost reader

TestChangeLateBehindLostReader simulates clusters in virtual time with the node's own waits: after one change, the readers lose the store, or watches hear nothing, and another change follows. Sound nodes use it after up to 4.6 s; 2 s are allowed. The waits move to the syncer, so that the test has those of the node.

--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -75,11 +75,10 @@
 	queueMax     = 128
 	queueWaitMax = 150 * time.Millisecond
 
-	// storeTimeout is the timeout of a call to the store of records; storeRetryFirst and storeRetryMax bound the backoff
-	// after failed calls to the stores.
-	storeTimeout    = 700 * time.Millisecond
-	storeRetryFirst = 100 * time.Millisecond
-	storeRetryMax   = 800 * time.Millisecond
+	// storeTimeout is the timeout of a call to the store of records; storeRetryMax is the longest backoff after failed
+	// calls to it.
+	storeTimeout  = 700 * time.Millisecond
+	storeRetryMax = 800 * time.Millisecond
 
 	// listPeriod is the time between two reads of the list of nodes; for listStartupTime after the start, it is
 	// listStartupPeriod.
@@ -182,7 +181,7 @@
 		StaleMax:      listStaleMax,
 		RetryMax:      storeRetryMax,
 	}, stores.Records, c, own, n.log)
-	n.config = syncer.New(syncerConfig(s.Bounds.KeyLifetime), syncer.Parts{
+	n.config = syncer.New(syncer.NewConfig(s.Bounds.KeyLifetime), syncer.Parts{
 		Now:     timekeeper.Now,
 		Source:  stores.Configuration,
 		Members: n.members,
--- a/internal/app/assembler/bounds.go
+++ b/internal/app/assembler/bounds.go
@@ -14,23 +14,12 @@
 
 	// verificationMargin is the time that may pass while the verification age of a key is checked.
 	verificationMargin = 250 * time.Millisecond
-
-	// watchFraction and watchSlackFraction are the wait of one call to the source and its timeout beyond that, as
-	// fractions of the key lifetime: two calls in a row can fail before the last verification is too old.
-	watchFraction      = 0.2
-	watchSlackFraction = 0.14
-
-	// pollFraction is the wait of a poll of another node, and pollAgeFraction the maximum verification age of the snapshot
-	// it returns, as fractions of the key lifetime; pollTimeout is the timeout of a poll beyond its wait.
-	pollFraction    = 0.14
-	pollAgeFraction = 0.5
-	pollTimeout     = 300 * time.Millisecond
 )
 
 // Apply replaces the bounds.
 func (n *node) Apply(b Bounds) {
 	n.bounds.Store(&b)
-	n.config.Configure(syncerConfig(b.KeyLifetime))
+	n.config.Configure(syncer.NewConfig(b.KeyLifetime))
 	n.setRetryBudget(b)
 }
 
@@ -46,19 +35,6 @@
 	return n.bounds.Load().KeyLifetime - verificationMargin
 }
 
-// syncerConfig returns the timeouts with which the configuration is verified often enough for the key lifetime.
-func syncerConfig(lifetime time.Duration) syncer.Config {
-	return syncer.Config{
-		Wait:        scale(lifetime, watchFraction),
-		Timeout:     scale(lifetime, watchSlackFraction),
-		RetryFirst:  storeRetryFirst,
-		RetryMax:    storeRetryMax,
-		PeerWait:    scale(lifetime, pollFraction),
-		PeerTimeout: pollTimeout,
-		PeerAgeMax:  scale(lifetime, pollAgeFraction),
-	}
-}
-
 // retryRatios assigns half of the allowed ratio to the retries to a service, and half to the nested calls that are
 // repeated by retries to the services above it.
 func retryRatios(ratio float64) budgeter.Ratios {
--- a/internal/cluster/syncer/syncer.go
+++ b/internal/cluster/syncer/syncer.go
@@ -53,30 +53,6 @@
 	Log     zerolog.Logger
 }
 
-// Config holds the timeouts and backoffs of the calls to the source and to other nodes.
-type Config struct {
-	// PeerWait is how long another node waits for a change before it responds to a poll.
-	PeerWait time.Duration
-
-	// PeerTimeout is the timeout of a poll, in addition to its wait.
-	PeerTimeout time.Duration
-
-	// PeerAgeMax is the maximum time since its last verification for which the snapshot of another node is used.
-	PeerAgeMax time.Duration
-
-	// Wait is how long one call to the source waits for a change.
-	Wait time.Duration
-
-	// Timeout is the timeout of a call to the source, in addition to its wait.
-	Timeout time.Duration
-
-	// RetryFirst is the backoff after the first failed call in a row; it doubles with each further one.
-	RetryFirst time.Duration
-
-	// RetryMax is the longest backoff after a failed call.
-	RetryMax time.Duration
-}
-
 // Syncer holds the active configuration.
 type Syncer interface {
 	// Serve applies each change of the source until the context ends.
