Derive the waits for a configuration from the time in which it must be in force

What callers saw: a request was handled by an older configuration than the bound of a change allows, at nodes that had never lost the store.

Cause: all waits of the syncer came from the key lifetime (5 s), none from the bound of a change (2 s), which was not even read from the settings. A node relied on its zone's reader for as long as the reader's verification was less than 2.5 s old, plus the poll under way. A reader that lost the store between two changes noticed it after 1.7 s, and asked a random node, which may be one that waits for this reader. A watch that hears nothing cost every reader 1.7 s.

Change: the waits are fractions of the smaller one of the change time (configApply) and half of the key lifetime. A node whose verification is older than 0.65 of it reads the source by itself, for at most 0.35. A watch that fails is followed by a plain read at once. Polls pass on newer verifications, not only newer versions, and a poll's age is that at its arrival. A node whose read fails asks up to four nodes for what they have, without waiting.

--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -181,7 +181,7 @@
 		StaleMax:      listStaleMax,
 		RetryMax:      storeRetryMax,
 	}, stores.Records, c, own, n.log)
-	n.config = syncer.New(syncer.NewConfig(s.Bounds.KeyLifetime), syncer.Parts{
+	n.config = syncer.New(syncConfig(s.Bounds), syncer.Parts{
 		Now:     timekeeper.Now,
 		Source:  stores.Configuration,
 		Members: n.members,
--- a/internal/app/assembler/bounds.go
+++ b/internal/app/assembler/bounds.go
@@ -19,7 +19,7 @@
 // Apply replaces the bounds.
 func (n *node) Apply(b Bounds) {
 	n.bounds.Store(&b)
-	n.config.Configure(syncer.NewConfig(b.KeyLifetime))
+	n.config.Configure(syncConfig(b))
 	n.setRetryBudget(b)
 }
 
@@ -35,6 +35,13 @@
 	return n.bounds.Load().KeyLifetime - verificationMargin
 }
 
+func syncConfig(b Bounds) syncer.Config {
+	return syncer.NewConfig(syncer.Bounds{
+		ChangeTime:  b.ChangeTime,
+		KeyLifetime: b.KeyLifetime,
+	})
+}
+
 // retryRatios assigns half of the allowed ratio to the retries to a service, and half to the nested calls that are
 // repeated by retries to the services above it.
 func retryRatios(ratio float64) budgeter.Ratios {
--- a/internal/app/assembler/peers.go
+++ b/internal/app/assembler/peers.go
@@ -102,10 +102,11 @@
 	return h.clusterLimiter.Grant(ctx, req), nil
 }
 
-// pollRequest asks another node for a configuration that is newer than KnownVersion; that node waits up to Wait
-// for one.
+// pollRequest is the encoding of a poll; an earlier program sends no age, and then gets the response after its wait
+// unless the version changes.
 type pollRequest struct {
 	KnownVersion uint64 `json:"Have"`
+	KnownAge     time.Duration
 	Wait         time.Duration
 }
 
@@ -114,7 +115,7 @@
 	if err != nil {
 		return syncer.Snapshot{}, err
 	}
-	return h.config.AnswerPoll(ctx, q.KnownVersion, q.Wait), nil
+	return h.config.AnswerPoll(ctx, syncer.Poll(q)), nil
 }
 
 func (h *peerHandler) mergeCrashes(r *streamer.Request) error {
@@ -153,14 +154,10 @@
 	return grant, c.send(ctx, m, headerTokenRequest, req, &grant)
 }
 
-// Poll returns the snapshot of the member as soon as its version is above the known version, or after the wait.
-func (c *peerClient) Poll(ctx context.Context, m chivegauge.Member, knownVersion uint64, wait time.Duration) (syncer.Snapshot, error) {
-	q := pollRequest{
-		KnownVersion: knownVersion,
-		Wait:         wait,
-	}
+// Poll returns the snapshot of the member as soon as it is newer than what is known, or after the wait.
+func (c *peerClient) Poll(ctx context.Context, m chivegauge.Member, p syncer.Poll) (syncer.Snapshot, error) {
 	snapshot := syncer.Snapshot{}
-	return snapshot, c.send(ctx, m, headerPoll, q, &snapshot)
+	return snapshot, c.send(ctx, m, headerPoll, pollRequest(p), &snapshot)
 }
 
 // NotifyCrashes sends the report of backend server crashes to the member.
--- a/internal/app/assembler/settings.go
+++ b/internal/app/assembler/settings.go
@@ -9,6 +9,9 @@
 
 // Bounds are the settings that can change while a node runs.
 type Bounds struct {
+	// ChangeTime is the maximum time from a change of the configuration to its use by each node that reaches the store.
+	ChangeTime time.Duration
+
 	// KeyLifetime is the maximum time for which a withdrawn key is still accepted by any node.
 	KeyLifetime time.Duration
 
--- a/internal/cluster/syncer/peers.go
+++ b/internal/cluster/syncer/peers.go
@@ -9,11 +9,24 @@
 	"github.com/chivegauge/chivegauge/internal/request/router"
 )
 
-// skipTime is how long a node is not polled again after a failed poll.
-const skipTime = 3 * time.Second
+const (
+	// skipTime is how long a node is not polled again after a failed poll.
+	skipTime = 3 * time.Second
 
-// Snapshot is the active version of a node and the time since its last verification; Document is nil if the polling
-// node already has it.
+	// randomPeersMax limits the polls of a node after a failed read: while nobody reaches the source, all nodes send them.
+	randomPeersMax = 4
+)
+
+// Poll asks another node for a version or a verification that is newer than those of the polling node; the other node
+// waits up to Wait for one.
+type Poll struct {
+	KnownVersion uint64
+	KnownAge     time.Duration
+	Wait         time.Duration
+}
+
+// Snapshot is the active version of a node and the age of its last verification when the poll arrived, which is negative
+// if it was made since; Document is nil if the polling node already has it.
 type Snapshot struct {
 	Version  uint64
 	Age      time.Duration
@@ -28,8 +41,45 @@
 
 // PeerClient polls other nodes.
 type PeerClient interface {
-	// Poll returns the snapshot of the member as soon as its version is above the known one, or after the wait.
-	Poll(ctx context.Context, m chivegauge.Member, knownVersion uint64, wait time.Duration) (Snapshot, error)
+	// Poll returns the snapshot of the member as soon as it is newer than what is known, or after the wait.
+	Poll(ctx context.Context, m chivegauge.Member, p Poll) (Snapshot, error)
+}
+
+// pollReaders polls the reader of this zone, and other nodes in its place if it doesn't help, until the source is due to
+// be read; it reports whether one of them helped.
+func (s *syncer) pollReaders(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		cfg := s.cfg.Load()
+		wait := min(cfg.PeerWait, cfg.AgeMax-s.Age()-cfg.PeerTimeout)
+		m, ok := s.zoneReader()
+		if !ok || wait < 0 {
+			return false
+		}
+		if recent, _ := s.pollPeer(ctx, m, wait); recent {
+			// The next call to the source may be long after the last one.
+			s.forgetRevision()
+			return true
+		}
+		s.skip(m.Address)
+	}
+	return false
+}
+
+// pollAny polls up to randomPeersMax random nodes of all zones for what they have, until one has a recent verification.
+func (s *syncer) pollAny(ctx context.Context) {
+	for range randomPeersMax {
+		m, ok := s.randomPeer()
+		if !ok || ctx.Err() != nil {
+			return
+		}
+		recent, err := s.pollPeer(ctx, m, 0)
+		if err != nil {
+			s.skip(m.Address)
+		}
+		if recent {
+			return
+		}
+	}
 }
 
 // zoneReader returns the node that reads the source for the zone of this node, or false if that is this node.
@@ -67,25 +117,25 @@
 // readerKey is the key of the rendezvous hash that selects the reader of a zone.
 const readerKey = "reader"
 
-// pollPeer applies the snapshot of another node and reports whether it is recent enough; its age is counted from when
-// the poll was sent, so that it is never underestimated.
-func (s *syncer) pollPeer(ctx context.Context, m chivegauge.Member) bool {
+// pollPeer applies the snapshot of another node and reports whether its verification is recent; its age is counted from
+// when the poll was sent, so that it is never underestimated.
+func (s *syncer) pollPeer(ctx context.Context, m chivegauge.Member, wait time.Duration) (recent bool, err error) {
 	r, ok := s.Router()
 	if !ok {
-		return false
+		return false, nil
 	}
 	cfg := s.cfg.Load()
 	sent := s.Now()
-	ctx, cancel := context.WithTimeout(ctx, cfg.PeerWait+cfg.PeerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+cfg.PeerTimeout)
 	defer cancel()
-	snapshot, err := s.Peers.Poll(ctx, m, r.Version(), cfg.PeerWait)
-	behind := err == nil && snapshot.Version < r.Version() // the other node is about to receive the newer version
-	if err != nil || snapshot.Age > cfg.PeerAgeMax || behind {
-		s.Log.Info().Err(err).Str("Reader", m.Address).Dur("ProofAgeMs", snapshot.Age).Uint64("Version", snapshot.Version).Msg("no proof from another node")
-		if !behind {
-			s.skip(m.Address)
-		}
-		return false
+	snapshot, err := s.Peers.Poll(ctx, m, Poll{
+		KnownVersion: r.Version(),
+		KnownAge:     s.Age(),
+		Wait:         wait,
+	})
+	if err != nil {
+		s.Log.Info().Err(err).Str("Reader", m.Address).Msg("no proof from another node")
+		return false, err
 	}
 	verifiedAt := sent.Add(-snapshot.Age)
 	if snapshot.Document != nil {
@@ -96,8 +146,16 @@
 			verifiedAt: verifiedAt,
 		})
 	}
-	s.setVerified(verifiedAt)
-	return true
+	age := s.Now().Sub(verifiedAt)
+	behind := snapshot.Version < r.Version()
+	if !behind {
+		s.setVerified(verifiedAt)
+	}
+	if behind || age > cfg.AgeMax {
+		s.Log.Info().Str("Reader", m.Address).Dur("ProofAgeMs", age).Uint64("Version", snapshot.Version).Msg("no proof from another node")
+		return false, nil
+	}
+	return true, nil
 }
 
 // skip excludes a node from polls for skipTime.
@@ -118,33 +176,36 @@
 func (s *syncer) setVerifiedLocked(at time.Time) {
 	if at.After(s.verifiedAt) {
 		s.verifiedAt = at
+		s.wake()
 	}
 }
 
 // AnswerPoll returns the snapshot for another node; the document is in it if the other node's version is older.
-func (s *syncer) AnswerPoll(ctx context.Context, knownVersion uint64, wait time.Duration) Snapshot {
-	s.mu.Lock()
-	changed := s.changed
-	version := s.document.Version
-	s.mu.Unlock()
-	if version <= knownVersion {
-		timer := time.NewTimer(wait)
-		defer timer.Stop()
+func (s *syncer) AnswerPoll(ctx context.Context, p Poll) Snapshot {
+	received := s.Now()
+	known := received.Add(s.cfg.Load().PeerGain - p.KnownAge)
+	ctx, cancel := context.WithTimeout(ctx, p.Wait)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		updated := s.updated
+		snapshot := Snapshot{
+			Version: s.document.Version,
+			Age:     received.Sub(s.verifiedAt),
+		}
+		if snapshot.Version > p.KnownVersion {
+			d := s.document
+			snapshot.Document = &d
+		}
+		newer := snapshot.Document != nil || s.verifiedAt.After(known)
+		s.mu.Unlock()
+		if newer {
+			return snapshot
+		}
 		select {
-		case <-changed:
-		case <-timer.C:
+		case <-updated:
 		case <-ctx.Done():
+			return snapshot
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	snapshot := Snapshot{
-		Version: s.document.Version,
-		Age:     s.Now().Sub(s.verifiedAt),
-	}
-	if snapshot.Version > knownVersion {
-		d := s.document
-		snapshot.Document = &d
-	}
-	return snapshot
 }
--- a/internal/cluster/syncer/syncer.go
+++ b/internal/cluster/syncer/syncer.go
@@ -65,8 +65,8 @@
 	Configure(cfg Config)
 	// Subscribe registers a function that is called with each configuration that becomes active.
 	Subscribe(f func(router.Router))
-	// AnswerPoll returns the snapshot for another node as soon as its version is above the known one, or after the wait.
-	AnswerPoll(ctx context.Context, knownVersion uint64, wait time.Duration) Snapshot
+	// AnswerPoll returns the snapshot for another node as soon as it is newer than what that node has, or after the wait.
+	AnswerPoll(ctx context.Context, p Poll) Snapshot
 }
 
 type syncer struct {
@@ -77,13 +77,18 @@
 
 	mu         sync.Mutex
 	verifiedAt time.Time
-	revision   uint64
+
+	// revision is that of the last call to the source, from which the next one waits for a change; 0 if that has to be a
+	// read.
+	revision uint64
 
 	// awaited is the highest revision up to which Await has reported all changes.
-	awaited   uint64
-	failing   bool
-	document  router.Document
-	changed   chan struct{}
+	awaited  uint64
+	failing  bool
+	document router.Document
+
+	// updated is closed and replaced at each newer configuration or verification.
+	updated   chan struct{}
 	skipUntil map[string]time.Time
 }
 
@@ -91,7 +96,7 @@
 func New(cfg Config, p Parts) Syncer {
 	s := &syncer{
 		Parts:     p,
-		changed:   make(chan struct{}),
+		updated:   make(chan struct{}),
 		skipUntil: map[string]time.Time{},
 	}
 	s.Configure(cfg)
@@ -129,9 +134,10 @@
 func (s *syncer) Serve(ctx context.Context) error {
 	backoff := s.cfg.Load().RetryFirst
 	for ctx.Err() == nil {
+		began := s.Now()
 		if err := s.syncOnce(ctx); err != nil && ctx.Err() == nil {
-			s.recordFailure(err)
-			backoff = s.backOff(ctx, backoff)
+			timekeeper.Sleep(ctx, backoff/2+rand.N(backoff)-s.Now().Sub(began))
+			backoff = min(2*backoff, s.cfg.Load().RetryMax)
 			continue
 		}
 		backoff = s.cfg.Load().RetryFirst
@@ -139,32 +145,47 @@
 	return ctx.Err()
 }
 
-// backOff sleeps for 0.5 to 1.5 times the backoff and returns the next backoff, twice as long up to RetryMax.
-func (s *syncer) backOff(ctx context.Context, backoff time.Duration) time.Duration {
-	timekeeper.Sleep(ctx, backoff/2+rand.N(backoff))
-	return min(2*backoff, s.cfg.Load().RetryMax)
-}
-
-// syncOnce polls the reader of this zone, falls back to the source itself, and then to any other node.
+// syncOnce polls a reader of this zone, or reads the source; if that fails, it polls any other nodes before it returns
+// the error.
 func (s *syncer) syncOnce(ctx context.Context) error {
-	if m, ok := s.zoneReader(); ok && s.pollPeer(ctx, m) {
+	if s.pollReaders(ctx) {
 		return nil
 	}
 	err := s.readSource(ctx)
 	if err == nil || ctx.Err() != nil {
 		return err
 	}
-	if m, ok := s.randomPeer(); ok && s.pollPeer(ctx, m) {
-		s.recordFailure(err)
-		return nil
-	}
+	s.recordFailure(err)
+	s.pollAny(ctx)
 	return err
 }
 
-// readSource makes one call to the source; the configuration is verified as of the time when the call was sent.
+// readSource waits for a change at the source if this node has read it before, and otherwise reads it. A watch that
+// fails is followed by a read at once: it may have failed because the source ended it, or heard nothing in time.
 func (s *syncer) readSource(ctx context.Context) error {
+	s.mu.Lock()
+	revision := s.revision
+	s.mu.Unlock()
+	cfg := s.cfg.Load()
+	if revision != 0 {
+		err := s.callSource(ctx, callAwait, cfg.Wait+cfg.WaitTimeout, func(ctx context.Context) (ReadResult, error) {
+			return s.Source.Await(ctx, revision, cfg.Wait)
+		})
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		s.Log.Info().Err(err).Uint64("Revision", revision).Msg("watch of the configuration failed; reading it")
+		s.forgetRevision()
+	}
+	return s.callSource(ctx, callRead, cfg.ReadTimeout, s.Source.Read)
+}
+
+// callSource makes one call to the source; the configuration is verified as of the time when the call was sent.
+func (s *syncer) callSource(ctx context.Context, call string, timeout time.Duration, f func(context.Context) (ReadResult, error)) error {
 	sent := s.Now()
-	result, call, err := s.callSource(ctx)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	result, err := f(ctx)
 	if err != nil {
 		return err
 	}
@@ -194,6 +215,13 @@
 	return nil
 }
 
+// forgetRevision makes the next call to the source a read.
+func (s *syncer) forgetRevision() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = 0
+}
+
 // The calls by which a configuration is received, as they are named in the log.
 const (
 	callRead  = "Read"
@@ -210,25 +238,6 @@
 	verifiedAt time.Time
 }
 
-// callSource makes one call to the source, and returns its result and which call it was.
-func (s *syncer) callSource(ctx context.Context) (ReadResult, string, error) {
-	s.mu.Lock()
-	revision := s.revision
-	s.mu.Unlock()
-	cfg := s.cfg.Load()
-	_, ok := s.Router()
-	if !ok || revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, cfg.Timeout)
-		defer cancel()
-		result, err := s.Source.Read(ctx)
-		return result, callRead, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, cfg.Wait+cfg.Timeout)
-	defer cancel()
-	result, err := s.Source.Await(ctx, revision, cfg.Wait)
-	return result, callAwait, err
-}
-
 // apply makes a newer configuration active, together with the time of its verification; an older one is ignored.
 func (s *syncer) apply(d router.Document, from origin) {
 	old, ok := s.Router()
@@ -244,8 +253,7 @@
 	s.current.Store(&r)
 	s.document = d
 	s.setVerifiedLocked(from.verifiedAt)
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 	s.mu.Unlock()
 	s.logChange(d, from, previous)
 	for _, f := range s.subscribers {
@@ -270,13 +278,17 @@
 	e.Msg("configuration in force")
 }
 
-// recordFailure makes the next call read the whole configuration; only the first failure in a row is logged, and an
-// expired revision is not a failure.
+// wake wakes the polls that wait; s.mu is held.
+func (s *syncer) wake() {
+	close(s.updated)
+	s.updated = make(chan struct{})
+}
+
+// recordFailure logs the first failed read in a row.
 func (s *syncer) recordFailure(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision = 0
-	if s.failing || errors.Is(err, ErrRevisionExpired) {
+	if s.failing {
 		return
 	}
 	s.failing = true
--- a/internal/cluster/syncer/syncer_test.go
+++ b/internal/cluster/syncer/syncer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -156,6 +157,7 @@
 	members []chivegauge.Member
 	nodes   map[string]syncer.Syncer
 	delays  *delays
+	polls   atomic.Int64
 	mu      sync.Mutex
 	silent  map[string]bool
 	hung    map[string]bool
@@ -170,7 +172,8 @@
 func (n nodeMembers) Self() chivegauge.Member    { return n.self }
 func (n nodeMembers) Alive() []chivegauge.Member { return n.members }
 
-func (n nodeMembers) Poll(ctx context.Context, m chivegauge.Member, knownVersion uint64, wait time.Duration) (syncer.Snapshot, error) {
+func (n nodeMembers) Poll(ctx context.Context, m chivegauge.Member, p syncer.Poll) (syncer.Snapshot, error) {
+	n.polls.Add(1)
 	time.Sleep(latency)
 	n.mu.Lock()
 	silent := n.silent[m.Address]
@@ -178,7 +181,7 @@
 	if silent {
 		return syncer.Snapshot{}, errors.New("no response")
 	}
-	snapshot := n.nodes[m.Address].AnswerPoll(ctx, knownVersion, wait)
+	snapshot := n.nodes[m.Address].AnswerPoll(ctx, p)
 	n.mu.Lock()
 	hung := n.hung[m.Address] || n.hung[n.self.Address]
 	n.mu.Unlock()
@@ -203,21 +206,23 @@
 }
 
 // testConfig returns short waits, with which a test in real time ends soon.
-func testConfig(peerAgeMax time.Duration) syncer.Config {
+func testConfig(age time.Duration) syncer.Config {
 	return syncer.Config{
 		Wait:        40 * time.Millisecond,
-		Timeout:     time.Second,
+		WaitTimeout: time.Second,
+		ReadTimeout: time.Second,
 		RetryFirst:  time.Millisecond,
 		RetryMax:    5 * time.Millisecond,
 		PeerWait:    20 * time.Millisecond,
 		PeerTimeout: time.Second,
-		PeerAgeMax:  peerAgeMax,
+		PeerGain:    10 * time.Millisecond,
+		AgeMax:      age,
 	}
 }
 
-func start(t *testing.T, s *source, peerAgeMax time.Duration, names ...string) *zone {
+func start(t *testing.T, s *source, age time.Duration, names ...string) *zone {
 	t.Helper()
-	return startWith(t, s, testConfig(peerAgeMax), io.Discard, names...)
+	return startWith(t, s, testConfig(age), io.Discard, names...)
 }
 
 // startWith starts nodes that log to the writer; a name with a slash begins with the availability zone of the node.
