--- a/internal/proof/faultinjector/relay.go
+++ b/internal/proof/faultinjector/relay.go
@@ -20,6 +20,7 @@
 	listener net.Listener
 	shut     bool
 	cut      bool
+	silent   bool
 	conns    map[*proxied]bool
 	closed   bool
 }
@@ -126,6 +127,7 @@
 	if r.closed {
 		return false
 	}
+	c.silent = r.silent
 	r.conns[c] = true
 	return true
 }
@@ -157,6 +159,17 @@
 	_ = c.server.Close()
 }
 
+// SetSilent switches a silent partition on or off: while it is on, the bytes of both directions are discarded on each
+// connection, also on new ones; those that were open then stay silent.
+func (r *Relay) SetSilent(on bool) {
+	r.mu.Lock()
+	r.silent = on
+	r.mu.Unlock()
+	if on {
+		r.Silence()
+	}
+}
+
 // Silence permanently discards the bytes of both directions on each open connection; new connections work.
 func (r *Relay) Silence() {
 	r.each(func(c *proxied) { c.silent = true })
