--- a/internal/base/loader/settings.go
+++ b/internal/base/loader/settings.go
@@ -144,7 +144,7 @@
 		},
 		Store: Store{
 			TimeoutMs: 1000,
-			WatchMs:   30000,
+			WatchMs:   2000,
 			RefreshMs: 600000,
 		},
 		Limits: Limits{
--- a/internal/base/storer/storer.go
+++ b/internal/base/storer/storer.go
@@ -16,9 +16,6 @@
 // ValueMaxBytes is the maximum size of a stored value in bytes.
 const ValueMaxBytes = 1 << 20
 
-// watchTimeoutMargin is the timeout of a watch beyond its wait.
-const watchTimeoutMargin = 3 * time.Second
-
 var (
 	// ErrConflict is returned if the stored version differs from the expected one.
 	ErrConflict = errors.New("store: version conflict")
@@ -50,7 +47,7 @@
 }
 
 // New returns a client of the store at the URL; timeout limits a call, and watchWait is how long a watch waits for a
-// change.
+// change in addition.
 func New(url string, timeout, watchWait time.Duration) Store {
 	return &store{
 		url:       url,
@@ -114,7 +111,7 @@
 // Watch returns the object once its version is above after, or ErrNotFound if it did not change within the wait.
 func (s *store) Watch(ctx context.Context, key string, after uint64) (Object, error) {
 	q := "?after=" + strconv.FormatUint(after, 10) + "&waitMs=" + strconv.FormatInt(s.watchWait.Milliseconds(), 10)
-	return s.callObject(ctx, s.watchWait+watchTimeoutMargin, http.MethodGet, objectPath(key)+q, nil, nil)
+	return s.callObject(ctx, s.watchWait+s.timeout, http.MethodGet, objectPath(key)+q, nil, nil)
 }
 
 func objectPath(key string) string {
--- a/internal/cluster/watcher/watcher.go
+++ b/internal/cluster/watcher/watcher.go
@@ -71,11 +71,15 @@
 	}
 }
 
-// step makes one watch or read call if one is due, and returns the pause before the next step.
+// step makes one watch or read call if one is due, and returns the pause before the next step. A watch that fails is
+// followed by a read at once: it may have failed because the store ended it, or heard nothing in time.
 func (w *watcher) step(ctx context.Context, now time.Time) (time.Duration, error) {
 	selected := IsWatcher(w.fleet.Self(), w.fleet.Members(), w.name)
 	if selected && w.version > 0 {
-		return 0, w.watch(ctx)
+		if err := w.watch(ctx); err == nil || ctx.Err() != nil {
+			return 0, err
+		}
+		return retryFirst, w.Read(ctx)
 	}
 	if !selected && !w.lastRead.IsZero() && now.Sub(w.lastRead) < w.refresh {
 		return checkPeriod, nil
