Keep to a reader that is about to have the newer version

Only a reader whose verification is old, or that doesn't respond, is skipped. One that was skipped is asked without waiting at first, so that there is time left to poll another node.

--- a/internal/cluster/syncer/peers.go
+++ b/internal/cluster/syncer/peers.go
@@ -55,12 +55,22 @@
 		if !ok || wait < 0 {
 			return false
 		}
-		if recent, _ := s.pollPeer(ctx, m, wait); recent {
+		if s.wasSkipped(m.Address) {
+			// It may not help this time either; then there is time left to poll another node.
+			wait = 0
+		}
+		switch s.pollPeer(ctx, m, wait) {
+		case pollRecent:
+			s.unskip(m.Address)
 			// The next call to the source may be long after the last one.
 			s.forgetRevision()
 			return true
+		case pollBehind:
+			// The other node is about to receive the newer version.
+			return false
+		case pollOld, pollFailed:
+			s.skip(m.Address)
 		}
-		s.skip(m.Address)
 	}
 	return false
 }
@@ -72,12 +82,12 @@
 		if !ok || ctx.Err() != nil {
 			return
 		}
-		recent, err := s.pollPeer(ctx, m, 0)
-		if err != nil {
-			s.skip(m.Address)
-		}
-		if recent {
+		switch s.pollPeer(ctx, m, 0) {
+		case pollRecent:
 			return
+		case pollFailed:
+			s.skip(m.Address)
+		case pollBehind, pollOld:
 		}
 	}
 }
@@ -117,12 +127,27 @@
 // readerKey is the key of the rendezvous hash that selects the reader of a zone.
 const readerKey = "reader"
 
-// pollPeer applies the snapshot of another node and reports whether its verification is recent; its age is counted from
-// when the poll was sent, so that it is never underestimated.
-func (s *syncer) pollPeer(ctx context.Context, m chivegauge.Member, wait time.Duration) (recent bool, err error) {
+// pollResult is the result of a poll.
+type pollResult int
+
+const (
+	// pollRecent means that the configuration has been verified within the maximum age.
+	pollRecent pollResult = iota
+	// pollBehind means that the other node has no configuration yet, or an older version than this one that has been
+	// verified within the maximum age.
+	pollBehind
+	// pollOld means that the verification of the other node is older than the maximum age.
+	pollOld
+	// pollFailed means that there was no response.
+	pollFailed
+)
+
+// pollPeer polls another node and applies its snapshot, whose age is counted from when the poll was sent, so that it is
+// never underestimated.
+func (s *syncer) pollPeer(ctx context.Context, m chivegauge.Member, wait time.Duration) pollResult {
 	r, ok := s.Router()
 	if !ok {
-		return false, nil
+		return pollFailed
 	}
 	cfg := s.cfg.Load()
 	sent := s.Now()
@@ -135,7 +160,7 @@
 	})
 	if err != nil {
 		s.Log.Info().Err(err).Str("Reader", m.Address).Msg("no proof from another node")
-		return false, err
+		return pollFailed
 	}
 	verifiedAt := sent.Add(-snapshot.Age)
 	if snapshot.Document != nil {
@@ -146,16 +171,20 @@
 			verifiedAt: verifiedAt,
 		})
 	}
-	age := s.Now().Sub(verifiedAt)
-	behind := snapshot.Version < r.Version()
-	if !behind {
+	result := pollRecent
+	if snapshot.Version < r.Version() {
+		result = pollBehind
+	} else {
 		s.setVerified(verifiedAt)
 	}
-	if behind || age > cfg.AgeMax {
+	age := s.Now().Sub(verifiedAt)
+	if age > cfg.AgeMax && snapshot.Version > 0 {
+		result = pollOld
+	}
+	if result != pollRecent {
 		s.Log.Info().Str("Reader", m.Address).Dur("ProofAgeMs", age).Uint64("Version", snapshot.Version).Msg("no proof from another node")
-		return false, nil
 	}
-	return true, nil
+	return result
 }
 
 // skip excludes a node from polls for skipTime.
@@ -165,6 +194,20 @@
 	s.skipUntil[address] = s.Now().Add(skipTime)
 }
 
+// wasSkipped reports whether the node has been excluded from polls, and has not helped since.
+func (s *syncer) wasSkipped(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.skipUntil[address].IsZero()
+}
+
+// unskip forgets that the node has been excluded from polls.
+func (s *syncer) unskip(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.skipUntil, address)
+}
+
 // setVerified records a verification, unless there is a later one.
 func (s *syncer) setVerified(at time.Time) {
 	s.mu.Lock()
