--- a/internal/cluster/syncer/bound_test.go
+++ b/internal/cluster/syncer/bound_test.go
@@ -219,6 +219,7 @@
 	for outage, set := range outages {
 		for cluster, names := range clusters {
 			t.Run(outage+", "+cluster, func(t *testing.T) {
+				worst := time.Duration(0)
 				for length := 3 * time.Second; length < 5*time.Second; length += 130 * time.Millisecond {
 					synctest.Test(t, func(t *testing.T) {
 						s := newSource()
@@ -234,9 +235,11 @@
 						}
 						ended := time.Now()
 						z.waitFor(t, "the change", hasVersion(2))
-						is.New(t).True(time.Since(ended) <= contactTime)
+						worst = max(worst, time.Since(ended))
 					})
 				}
+				t.Logf("the change came after %v at most", worst)
+				is.New(t).True(worst <= contactTime)
 			})
 		}
 	}
