--- a/internal/app/assembler/stop_test.go
+++ b/internal/app/assembler/stop_test.go
@@ -159,6 +159,7 @@
 		RetryWindow:    time.Second,
 		Log:            io.Discard,
 		Bounds: assembler.Bounds{
+			ChangeTime:  2 * time.Second,
 			KeyLifetime: 5 * time.Second,
 			StopTime:    6 * time.Second,
 		},
