Take the ports of test fleets below those of outgoing connections

The port had been found free and was then taken, presumably by a connection: ports were chosen from 21000 to 50900, and the kernel gives 32768 and more to connections. They are chosen from 12000 to 31900 now.

--- a/internal/measure/launcher/fleet.go
+++ b/internal/measure/launcher/fleet.go
@@ -136,9 +136,11 @@
 	return waitFor(f.StoreURL + "/counts")
 }
 
+// Ports are taken from 12000 on, below those that the kernel gives to outgoing connections, one of which might take a
+// port between its choice and its use.
 var (
 	portMu   sync.Mutex
-	portNext = 21000 + os.Getpid()%300*100
+	portNext = 12000 + os.Getpid()%200*100
 )
 
 // FreeAddress returns a loopback address with a free port.
