--- a/review/standins/case_listed.go
+++ b/review/standins/case_listed.go
@@ -12,7 +12,7 @@
 	const requests = 40
 	routes := []route{{name: "r-orders", host: "shop.example", prefix: "/orders/", kind: "non_idempotent", timeout: "3000ms", service: "orders", attempts: 2}}
 	tenants := []tenant{{name: "golf", keys: []string{"key-golf-1"}}, {name: "hotel", keys: []string{"key-hotel-1"}}}
-	c, err := newCluster(spec{services: []string{"orders", "orders", "prices"}, slots: 32, work: 20 * time.Millisecond, body: []byte("done")},
+	c, err := newCluster(spec{services: []string{"orders", "prices"}, slots: 32, work: 20 * time.Millisecond, body: []byte("done")},
 		configuration("00000001", routes, []string{"orders", "prices"}, tenants), log)
 	defer c.stop()
 	if err != nil {
