Review case 2: a crashing request of an impatient caller is never refused

Cause: a run counts as interrupted only if it breaks off while the node still waits; if the caller has left before the backend server crashes, no crash counts against the request. Each run of a case reserves a block of ports, since one run of the planned stop lost a port to another run.

--- a/review/standins/backend.go
+++ b/review/standins/backend.go
@@ -38,6 +38,7 @@
 
 // backend is a stand-in for a backend server.
 type backend struct {
+	name    string
 	id      string
 	service string
 	zone    string
@@ -48,12 +49,14 @@
 	body    []byte
 	born    int64
 	onRun   func(run)
+	onPath  func(*backend, *http.Request) bool // handles a request that it returns true for
 	log     *record
 
 	mu       sync.Mutex
 	sequence uint64
 	silent   bool // sends no further pings
 	server   *http.Server
+	boots    int
 }
 
 func (b *backend) start(ctx context.Context) error {
@@ -61,16 +64,49 @@
 	if err != nil {
 		return err
 	}
+	server := &http.Server{Handler: b, ReadHeaderTimeout: 5 * time.Second}
+	b.mu.Lock()
 	b.born = time.Now().UnixMilli()
-	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = b.server.Serve(l) }()
+	b.server = server
+	b.sequence = 0
+	b.silent = false
+	b.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
 	go b.beat(ctx)
 	return nil
 }
 
+// crash ends the process of the backend server without a word, and starts another one after the time.
+func (b *backend) crash(ctx context.Context, back time.Duration) {
+	b.mu.Lock()
+	if b.silent {
+		b.mu.Unlock()
+		return // it has crashed already
+	}
+	b.silent = true
+	server := b.server
+	b.mu.Unlock()
+	_ = server.Close()
+	time.Sleep(back)
+	b.mu.Lock()
+	b.boots++
+	b.id = fmt.Sprintf("i-%s-%s-%d", b.service, b.name, b.boots)
+	b.mu.Unlock()
+	if err := b.start(ctx); err != nil {
+		b.log.linef("backend server of %s not started: %v", b.name, err)
+	}
+}
+
+// identity returns the ID of the process that runs.
+func (b *backend) identity() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.id
+}
+
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
-		w.Header().Set("X-Chivegauge-Instance-Id", b.id)
+		w.Header().Set("X-Chivegauge-Instance-Id", b.identity())
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -79,7 +115,7 @@
 	}
 	_ = body
 	id := r.Header.Get(headerAttempt)
-	if expected := r.Header.Get(headerExpected); expected != "" && expected != b.id {
+	if expected := r.Header.Get(headerExpected); expected != "" && expected != b.identity() {
 		w.Header().Set(headerAttempt, id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -91,12 +127,15 @@
 	}
 	b.onRun(run{
 		at:      time.Now(),
-		backend: b.id,
+		backend: b.identity(),
 		attempt: id,
 		path:    r.URL.Path,
 		tenant:  r.Header.Get(headerTenant),
 		caller:  r.Header.Get(headerCaller),
 	})
+	if b.onPath != nil && b.onPath(b, r) {
+		return
+	}
 	select {
 	case <-time.After(b.work):
 	case <-r.Context().Done():
@@ -126,7 +165,7 @@
 func (b *backend) send(method string, body []byte) (int, error) {
 	client := &http.Client{Timeout: time.Second}
 	defer client.CloseIdleConnections()
-	res, err := client.Post("http://"+b.control+"/v1/Instances."+method+"/"+b.id, "application/json", bytes.NewReader(body))
+	res, err := client.Post("http://"+b.control+"/v1/Instances."+method+"/"+b.identity(), "application/json", bytes.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
@@ -141,11 +180,14 @@
 }
 
 func (b *backend) beat(ctx context.Context) {
+	b.mu.Lock()
+	boot := b.boots
+	b.mu.Unlock()
 	for ctx.Err() == nil {
 		b.mu.Lock()
-		silent := b.silent
+		stop := b.silent || b.boots != boot
 		b.mu.Unlock()
-		if silent {
+		if stop {
 			return
 		}
 		status, err := b.send("Heartbeat", b.ping("ready"))
@@ -169,5 +211,5 @@
 			return time.Now(), nil
 		}
 	}
-	return time.Time{}, fmt.Errorf("no ack of the departure of %s", b.id)
+	return time.Time{}, fmt.Errorf("no ack of the departure of %s", b.identity())
 }
--- a/review/standins/cluster.go
+++ b/review/standins/cluster.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,13 +23,40 @@
 	// Ports are taken from below the range of outgoing connections.
 	portFirst = 20000
 	portLast  = 32000
+
+	blockPorts = 100
 )
 
-// listen returns a listener on a free loopback port.
-func listen() (net.Listener, error) {
+// ports hands out free ports of one block; the listener on its first port keeps other runs out of the block.
+type ports struct {
+	guard net.Listener
+	next  int
+}
+
+// newPorts reserves a block.
+func newPorts() (*ports, error) {
+	var last error
+	for range 100 {
+		first := portFirst + rand.IntN((portLast-portFirst)/blockPorts)*blockPorts
+		l, err := net.Listen("tcp", address(first))
+		if err == nil {
+			return &ports{guard: l, next: first + 1}, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
+func address(port int) string {
+	return fmt.Sprintf("127.0.0.1:%d", port)
+}
+
+// listen returns a listener on a free port of the block.
+func (p *ports) listen() (net.Listener, error) {
 	var last error
-	for range 200 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", portFirst+rand.IntN(portLast-portFirst)))
+	for range blockPorts {
+		l, err := net.Listen("tcp", address(p.next))
+		p.next++
 		if err == nil {
 			return l, nil
 		}
@@ -37,16 +65,18 @@
 	return nil, last
 }
 
-// freePorts returns n free loopback addresses.
-func freePorts(n int) ([]string, error) {
+// free returns n free addresses.
+func (p *ports) free(n int) ([]string, error) {
 	out := make([]string, n)
 	for i := range out {
-		l, err := listen()
+		l, err := p.listen()
 		if err != nil {
 			return nil, err
 		}
-		defer func() { _ = l.Close() }()
 		out[i] = l.Addr().String()
+		if err := l.Close(); err != nil {
+			return nil, err
+		}
 	}
 	return out, nil
 }
@@ -77,6 +107,7 @@
 // cluster is a small deployment.
 type cluster struct {
 	dir      string
+	ports    *ports
 	store    *store
 	machines []*machine
 	log      *record
@@ -94,6 +125,7 @@
 	body     []byte
 	bounds   []string
 	memoryMB int
+	onPath   func(*backend, *http.Request) bool
 }
 
 var defaultBounds = []string{
@@ -112,7 +144,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cluster{dir: dir, log: log, cancel: cancel}
 	current.Store(c)
-	if c.store, err = newStore(); err != nil {
+	if c.ports, err = newPorts(); err != nil {
+		return c, err
+	}
+	if c.store, err = newStore(c.ports); err != nil {
 		return c, err
 	}
 	if err := c.store.put("config", "main", config); err != nil {
@@ -138,17 +173,18 @@
 }
 
 func (c *cluster) newMachine(i int, service string, s spec) (*machine, error) {
-	ports, err := freePorts(6)
+	free, err := c.ports.free(6)
 	if err != nil {
 		return nil, err
 	}
 	m := &machine{
 		name: fmt.Sprintf("sidecar-a-%d", i+1), zone: "a", service: service, log: c.log,
-		inbound: ports[0], outbound: ports[1], ready: ports[2], control: ports[3], internal: ports[4],
+		inbound: free[0], outbound: free[1], ready: free[2], control: free[3], internal: free[4],
 		settings: filepath.Join(c.dir, fmt.Sprintf("node-%d.yaml", i+1)),
 	}
 	m.backend = &backend{
-		id: fmt.Sprintf("i-%s-%d", service, i+1), service: service, zone: "a", address: ports[5], control: m.control,
+		name: strconv.Itoa(i + 1), onPath: s.onPath,
+		id: fmt.Sprintf("i-%s-%d", service, i+1), service: service, zone: "a", address: free[5], control: m.control,
 		slots: s.slots, work: s.work, body: s.body, log: c.log, onRun: c.addRun,
 	}
 	m.later = m.settingsText(c.store.address(), s, false)
@@ -325,12 +361,18 @@
 	}
 	c.cancel()
 	for _, m := range c.machines {
-		if m.backend.server != nil {
-			_ = m.backend.server.Close()
+		m.backend.mu.Lock()
+		server := m.backend.server
+		m.backend.mu.Unlock()
+		if server != nil {
+			_ = server.Close()
 		}
 	}
 	if c.store != nil {
 		_ = c.store.server.Close()
 	}
+	if c.ports != nil {
+		_ = c.ports.guard.Close()
+	}
 	_ = os.RemoveAll(c.dir)
 }
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -43,8 +43,8 @@
 	server   *http.Server
 }
 
-func newStore() (*store, error) {
-	l, err := listen()
+func newStore(p *ports) (*store, error) {
+	l, err := p.listen()
 	if err != nil {
 		return nil, err
 	}
