--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 	echo "run the build of the deploy file and review/build.sh first"
 	exit 2
 fi
-exec target/review-cases late-ping review/3
+exec target/review-cases listed-header review/3
