Take no header of a caller for a message between nodes

Callers saw connections end without an answer to orders that had run (LOST): a request with Chivegauge-Draw ended the process of each node that it was forwarded to. One with Chivegauge-Prove was answered with the keys of all workspaces.

Cause: messages between nodes are told from forwarded requests by a header, and the node that takes a request from its caller forwarded the caller's fields of these names; decode then read a body that was nil.

Fix: fields with the system's prefix end at the node that takes the request from its caller, so that no name of a present or future message passes. A forwarded request is known by its time budget before marks are looked at, as nodes of earlier versions forward marks. A message without a body is refused.

--- a/headernames.go
+++ b/headernames.go
@@ -45,3 +45,13 @@
 		KeyScheme: "Bearer",
 	}
 }
+
+// DeleteInternal deletes the header fields with the system's own prefix, but for the attempt: only nodes may set them, and
+// the header is of a message from a caller or a backend server.
+func (n HeaderNames) DeleteInternal(h map[string][]string) {
+	for name := range h {
+		if InternalHeader(name) && name != n.Attempt {
+			delete(h, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/app/assembler/marked_test.go
@@ -0,0 +1,155 @@
+package assembler_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+)
+
+// messageMarks are the headers that mark messages between nodes.
+var messageMarks = []string{
+	chivegauge.HeaderPrefix + "Record",
+	chivegauge.HeaderPrefix + "Draw",
+	chivegauge.HeaderPrefix + "Prove",
+	chivegauge.HeaderPrefix + "Blame",
+}
+
+// exchange sends a request to the address, and returns the status and the body of its response.
+func exchange(t *testing.T, address, method, path string, header http.Header, body string) (int, string) {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	is.NoErr(err)
+	req.Host = "a.example"
+	req.Header = header
+	req.Close = true
+	res, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	return res.StatusCode, string(b)
+}
+
+// TestCallerHeadersAreNoMessages guards against a caller that sends messages to the nodes: the headers that mark them
+// are not forwarded from the listener for callers.
+func TestCallerHeadersAreNoMessages(t *testing.T) {
+	is := is.New(t)
+	group := &errgroup.Group{}
+	n := newTestNode(t, &store{
+		records: map[string]registrar.Record{},
+	}, group)
+	defer n.stop()
+	peer, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = peer.Close() }()
+	heads := make(chan http.Header, 100)
+	group.Go(func() error {
+		for {
+			nc, err := peer.Accept()
+			if err != nil {
+				return nil
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(nc)); err == nil && strings.HasPrefix(r.RequestURI, "/fragile/") {
+				heads <- r.Header
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			}
+			_ = nc.Close()
+		}
+	})
+	announce(t, n.address, registrar.Record{
+		Member: chivegauge.Member{
+			Address:     peer.Addr().String(),
+			Service:     "fragile",
+			Incarnation: chivegauge.FirstIncarnation(1),
+		},
+		Change:      1,
+		Instance:    "i-1",
+		StartedAtMs: 1,
+		Slots:       8,
+	})
+	for _, mark := range messageMarks {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			status, _ := exchange(t, n.callers, method, "/fragile/x", http.Header{
+				headerNames().Attempt:    {"1"},
+				mark:                     {"1"},
+				strings.ToUpper(mark):    {"2"},
+				"Chivegauge-Budget-Ms":   {"100000"},
+				"X-Shop-Draw":            {"kept"},
+				"Chivegauge-Unknown-Yet": {"1"},
+			}, "")
+			is.Equal(status, http.StatusOK)
+			h := <-heads
+			is.Equal(h.Get(mark), "")
+			is.Equal(h.Get("Chivegauge-Unknown-Yet"), "")
+			is.True(h.Get("Chivegauge-Budget-Ms") != "100000")
+			is.Equal(h.Get("X-Shop-Draw"), "kept")
+		}
+	}
+}
+
+// TestForwardedRequestsAreNoMessages guards against nodes that take a forwarded request for a message: a node of an
+// earlier version forwards the headers that mark messages.
+func TestForwardedRequestsAreNoMessages(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t, &store{
+		records: map[string]registrar.Record{},
+	}, &errgroup.Group{})
+	defer n.stop()
+	for _, mark := range messageMarks {
+		for _, body := range []string{"", "{}"} {
+			status, got := exchange(t, n.address, http.MethodPost, "/read/x", http.Header{
+				headerNames().Attempt:    {"1"},
+				mark:                     {"1"},
+				"Chivegauge-Budget-Ms":   {"5000"},
+				"Chivegauge-Service":     {"booking"},
+				"Chivegauge-Route":       {"read"},
+				"Chivegauge-Importance":  {"Normal"},
+				"Chivegauge-Idempotent":  {"true"},
+				"Chivegauge-Workspace":   {"golf"},
+				"Chivegauge-Caller":      {"entry"},
+				"Chivegauge-Unknown-Yet": {"1"},
+			}, body)
+			is.Equal(status, http.StatusOK)
+			is.Equal(got, "whole")
+		}
+	}
+}
+
+// TestInvalidMessages guards against a message that ends the process of the node: one without a body, or with a body
+// that isn't its encoding, is refused.
+func TestInvalidMessages(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t, &store{
+		records: map[string]registrar.Record{},
+	}, &errgroup.Group{})
+	defer n.stop()
+	for _, mark := range messageMarks {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			for _, body := range []string{"", "null x", "[]", "{", "\x00"} {
+				status, _ := exchange(t, n.address, method, "/", http.Header{
+					mark: {"1"},
+				}, body)
+				is.True(status >= http.StatusBadRequest)
+			}
+		}
+	}
+	status, got := exchange(t, n.callers, http.MethodGet, "/read/x", http.Header{
+		headerNames().Attempt: {"1"},
+	}, "")
+	is.Equal(status, http.StatusOK)
+	is.Equal(got, "whole")
+}
--- a/internal/app/assembler/peers.go
+++ b/internal/app/assembler/peers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -42,6 +43,8 @@
 	var err error
 	out := any(struct{}{})
 	switch {
+	case transporter.Forwarded(r.Header):
+		return h.receiver.Handle(ctx, r)
 	case r.Header.Get(headerRecord) != "":
 		err = h.mergeRecord(r)
 	case r.Header.Get(headerTokenRequest) != "":
@@ -75,7 +78,14 @@
 // decode returns the message in the body of the request, or an error that names what was expected.
 func decode[T any](r *streamer.Request, what string) (T, error) {
 	var message T
-	if err := json.NewDecoder(r.Body).Decode(&message); err != nil {
+	if r.Body == nil {
+		return message, errors.Errorf("the %s has no body", what)
+	}
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return message, errors.Wrap(err, "read "+what)
+	}
+	if err := json.Unmarshal(b, &message); err != nil {
 		return message, errors.Wrap(err, "decode "+what)
 	}
 	return message, nil
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -177,6 +177,7 @@
 	if refusal != nil {
 		return f.finish(call, r, streamer.RefusalResponse(refusal), nil)
 	}
+	f.Names.DeleteInternal(r.Header)
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(call.Budget(time.Now())+deadlineGrace, cancel)
 	response, tried := f.forward(ctx, call, attemptsMax, r)
--- a/internal/stream/transporter/wire.go
+++ b/internal/stream/transporter/wire.go
@@ -50,6 +50,11 @@
 	return h
 }
 
+// Forwarded reports whether the header is of a request that another node forwarded, whatever other fields it has.
+func Forwarded(h http.Header) bool {
+	return h.Get(chivegauge.HeaderBudgetMs) != ""
+}
+
 // flag returns the value of a header that is left out if it is false.
 func flag(on bool) string {
 	if on {
