--- a/internal/app/assembler/marked_test.go
+++ b/internal/app/assembler/marked_test.go
@@ -6,12 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
+	"github.com/chivegauge/chivegauge/internal/stream/streamer"
+	"github.com/chivegauge/chivegauge/internal/stream/transporter"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 )
@@ -153,3 +156,81 @@
 	is.Equal(status, http.StatusOK)
 	is.Equal(got, "whole")
 }
+
+// noWitness ignores interrupted requests.
+type noWitness struct{}
+
+func (noWitness) RecordInterrupted(time.Time, string, uint64) {}
+func (noWitness) RecordResponse(time.Time, string)            {}
+
+// TestBackendHeadersAreNotTheNodes guards against a backend server that speaks for the node beside it: that a request did
+// not run, or what load the node has.
+func TestBackendHeadersAreNotTheNodes(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		fields string
+	}{
+		"refusal as not run":         {status: http.StatusOK, fields: "Chivegauge-Code: Busy\r\nChivegauge-Run: NotRun\r\n"},
+		"refusal of an error":        {status: http.StatusInternalServerError, fields: "Chivegauge-Code: Busy\r\nChivegauge-Run: NotRun\r\n"},
+		"refusal with a retry delay": {status: http.StatusOK, fields: "Chivegauge-Code: RateExceeded\r\nChivegauge-Run: NotRun\r\nRetry-After: 5\r\n"},
+		"load of a node":             {status: http.StatusOK, fields: "Chivegauge-Running: 900\r\n"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			backend, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = backend.Close() }()
+			group := &errgroup.Group{}
+			group.Go(func() error {
+				for {
+					nc, err := backend.Accept()
+					if err != nil {
+						return nil
+					}
+					if r, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+						_, _ = io.WriteString(nc, "HTTP/1.1 "+strconv.Itoa(tt.status)+" Text\r\nAttempt-Id: "+r.Header.Get(headerNames().Attempt)+"\r\n"+tt.fields+"Content-Length: 3\r\n\r\nran")
+					}
+					_ = nc.Close()
+				}
+			})
+			n := newTestNodeBeside(t, &store{
+				records: map[string]registrar.Record{},
+			}, group, backend.Addr().String())
+			defer n.stop()
+			sender := transporter.New(transporter.Config{
+				DialTimeout:     time.Second,
+				AttemptHeader:   headerNames().Attempt,
+				BodyBufferBytes: 64 << 10,
+			}, noWitness{})
+			response, load := sender.Send(t.Context(), chivegauge.Member{
+				Address: n.address,
+			}, chivegauge.Call{
+				RequestID:  "1",
+				Service:    "booking",
+				Importance: chivegauge.Normal,
+				Deadline:   time.Now().Add(5 * time.Second),
+			}, &streamer.Request{
+				Method: http.MethodGet,
+				Target: "/read/x",
+				Host:   "a.example",
+				Header: http.Header{
+					headerNames().Attempt: {"1"},
+				},
+			})
+			defer response.Release()
+			is.Equal(response.Refusal, nil)
+			is.Equal(response.Status, tt.status)
+			is.True(load.Running <= 1)
+			is.True(load.Limit > 0)
+			body, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "ran")
+			status, got := exchange(t, n.callers, http.MethodGet, "/read/x", http.Header{
+				headerNames().Attempt: {"2"},
+			}, "")
+			is.Equal(status, tt.status)
+			is.Equal(got, "ran")
+		})
+	}
+}
