Delete what Connection lists where a message enters

Backend servers got requests without tenant and caller service (UNASKED), of callers whose Connection header lists these names. Over a hop such a request could be refused with 400, or answered 502 after it had run; a backend server could remove attempt and receipt of its response, and the load of its node.

Cause: the encoder left out the fields that the Connection header of the message lists, among them those that the node had set itself.

Fix: listed fields are deleted at the node that takes the request from its caller and at the one that takes the response from its backend server, before nodes add theirs. The encoder looks at names alone.

--- a/headernames.go
+++ b/headernames.go
@@ -1,5 +1,10 @@
 package chivegauge
 
+import (
+	"net/textproto"
+	"strings"
+)
+
 // HeaderNames are the names of the headers that callers and backend servers exchange with a node.
 type HeaderNames struct {
 	// Attempt carries the ID that the caller gave a request; the backend server repeats it in its response.
@@ -24,6 +29,9 @@
 	// Leaving marks, with the value 1, the responses of a backend server that is leaving.
 	Leaving string
 
+	// Receipt carries the proof of a backend server that it made the response.
+	Receipt string
+
 	// Caller carries the service of the instance that made a request.
 	Caller string
 
@@ -55,3 +63,16 @@
 		}
 	}
 }
+
+// DeleteListed deletes the header fields that Connection lists, which end at the node that receives them. The attempt and
+// the receipt, which callers and backend servers rely on, are kept.
+func (n HeaderNames) DeleteListed(h map[string][]string) {
+	for _, v := range h["Connection"] {
+		for option := range strings.SplitSeq(v, ",") {
+			name := textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(option))
+			if !HopByHopHeader(name) && name != n.Attempt && name != n.Receipt {
+				delete(h, name)
+			}
+		}
+	}
+}
--- a/internal/app/assembler/marked_test.go
+++ b/internal/app/assembler/marked_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
+	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/chivegauge/chivegauge/internal/stream/streamer"
 	"github.com/chivegauge/chivegauge/internal/stream/transporter"
 	"github.com/matryer/is"
@@ -178,46 +179,12 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			backend, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer func() { _ = backend.Close() }()
 			group := &errgroup.Group{}
-			group.Go(func() error {
-				for {
-					nc, err := backend.Accept()
-					if err != nil {
-						return nil
-					}
-					if r, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
-						_, _ = io.WriteString(nc, "HTTP/1.1 "+strconv.Itoa(tt.status)+" Text\r\nAttempt-Id: "+r.Header.Get(headerNames().Attempt)+"\r\n"+tt.fields+"Content-Length: 3\r\n\r\nran")
-					}
-					_ = nc.Close()
-				}
-			})
 			n := newTestNodeBeside(t, &store{
 				records: map[string]registrar.Record{},
-			}, group, backend.Addr().String())
+			}, group, serveText(t, group, tt.status, tt.fields))
 			defer n.stop()
-			sender := transporter.New(transporter.Config{
-				DialTimeout:     time.Second,
-				AttemptHeader:   headerNames().Attempt,
-				BodyBufferBytes: 64 << 10,
-			}, noWitness{})
-			response, load := sender.Send(t.Context(), chivegauge.Member{
-				Address: n.address,
-			}, chivegauge.Call{
-				RequestID:  "1",
-				Service:    "booking",
-				Importance: chivegauge.Normal,
-				Deadline:   time.Now().Add(5 * time.Second),
-			}, &streamer.Request{
-				Method: http.MethodGet,
-				Target: "/read/x",
-				Host:   "a.example",
-				Header: http.Header{
-					headerNames().Attempt: {"1"},
-				},
-			})
+			response, load := sendToPeer(t, n)
 			defer response.Release()
 			is.Equal(response.Refusal, nil)
 			is.Equal(response.Status, tt.status)
@@ -234,3 +201,47 @@
 		})
 	}
 }
+
+// serveText starts a backend server that answers each request with the status, the header fields and the body "ran".
+func serveText(t *testing.T, group *errgroup.Group, status int, fields string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	group.Go(func() error {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+				_, _ = io.WriteString(nc, "HTTP/1.1 "+strconv.Itoa(status)+" Text\r\nAttempt-Id: "+r.Header.Get(headerNames().Attempt)+"\r\n"+fields+"Content-Length: 3\r\n\r\nran")
+			}
+			_ = nc.Close()
+		}
+	})
+	return l.Addr().String()
+}
+
+// sendToPeer sends a request to the node as another node would.
+func sendToPeer(t *testing.T, n *testNode) (*streamer.Response, picker.Load) {
+	sender := transporter.New(transporter.Config{
+		DialTimeout:     time.Second,
+		AttemptHeader:   headerNames().Attempt,
+		BodyBufferBytes: 64 << 10,
+	}, noWitness{})
+	return sender.Send(t.Context(), chivegauge.Member{
+		Address: n.address,
+	}, chivegauge.Call{
+		RequestID:  "1",
+		Service:    "booking",
+		Importance: chivegauge.Normal,
+		Deadline:   time.Now().Add(5 * time.Second),
+	}, &streamer.Request{
+		Method: http.MethodGet,
+		Target: "/read/x",
+		Host:   "a.example",
+		Header: http.Header{
+			headerNames().Attempt: {"1"},
+		},
+	})
+}
--- a/internal/app/assembler/stop_test.go
+++ b/internal/app/assembler/stop_test.go
@@ -56,6 +56,12 @@
 					DeadlineMs: 5000,
 					Attempts:   1,
 				}},
+				Workspaces: []chivegauge.Workspace{{
+					Name: "golf",
+				}},
+			},
+			Keys: map[string][]string{
+				"golf": {"key-golf"},
 			},
 		},
 	}, nil
@@ -105,6 +111,7 @@
 func headerNames() chivegauge.HeaderNames {
 	names := chivegauge.OwnHeaderNames()
 	names.Attempt = "Attempt-Id"
+	names.Receipt = "Receipt"
 	return names
 }
 
@@ -146,11 +153,16 @@
 
 // newTestNodeBeside starts a node beside a backend server of the service "booking" at the address.
 func newTestNodeBeside(t testing.TB, s *store, group *errgroup.Group, backendAddress string) *testNode {
+	return newTestNodeOf(t, s, group, "booking", backendAddress)
+}
+
+// newTestNodeOf starts a node beside a backend server of the service at the address.
+func newTestNodeOf(t testing.TB, s *store, group *errgroup.Group, service, backendAddress string) *testNode {
 	settings := assembler.Settings{
 		Name: "node",
 		Member: chivegauge.Member{
 			Address: freeAddress(t),
-			Service: "booking",
+			Service: service,
 		},
 		CallerAddress:  freeAddress(t),
 		BackendAddress: backendAddress,
@@ -176,7 +188,7 @@
 		Instance:    "i-" + settings.CallerAddress,
 		StartedAtMs: 1,
 		Sequence:    1,
-		Service:     "booking",
+		Service:     service,
 		Slots:       8,
 	})
 	return &testNode{
--- a/internal/stream/encoder/encoder.go
+++ b/internal/stream/encoder/encoder.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httputil"
 	"strconv"
-	"strings"
 	"sync"
 
 	"github.com/chivegauge/chivegauge"
@@ -148,11 +147,11 @@
 	}
 }
 
-// writeHeader writes the end-to-end header fields and leaves out the hop-by-hop ones.
+// writeHeader writes the end-to-end header fields and leaves out the hop-by-hop ones. Those that Connection lists were
+// deleted where the message entered the cluster, before nodes added their own.
 func writeHeader(w *bufio.Writer, h http.Header) {
-	connection := h["Connection"]
 	for name, values := range h {
-		if chivegauge.HopByHopHeader(name) || listsField(connection, name) {
+		if chivegauge.HopByHopHeader(name) {
 			continue
 		}
 		for _, v := range values {
@@ -160,15 +159,3 @@
 		}
 	}
 }
-
-// listsField reports whether a Connection header lists the field name, which makes it hop-by-hop.
-func listsField(connection []string, name string) bool {
-	for _, v := range connection {
-		for part := range strings.SplitSeq(v, ",") {
-			if strings.EqualFold(strings.TrimSpace(part), name) {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -373,6 +373,7 @@
 		return streamer.RefusalResponse(refusal.WithReachedBackend())
 	}
 	e.Names.DeleteInternal(response.Header)
+	e.Names.DeleteListed(response.Header)
 	failed := response.Status >= http.StatusInternalServerError
 	e.recordRun(failed)
 	response.OnRelease(func() { e.release(held, failed) })
--- a/internal/stream/forwarder/forwarder.go
+++ b/internal/stream/forwarder/forwarder.go
@@ -178,6 +178,7 @@
 		return f.finish(call, r, streamer.RefusalResponse(refusal), nil)
 	}
 	f.Names.DeleteInternal(r.Header)
+	f.Names.DeleteListed(r.Header)
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(call.Budget(time.Now())+deadlineGrace, cancel)
 	response, tried := f.forward(ctx, call, attemptsMax, r)
