Count crashes against requests that were abandoned

Cause: a run was kept, so that a crash can count against it, only if its connection broke off while the node still waited. Keeping it like such a run is not enough: the next response of the backend server to another request drops it, before the crash.

Fix: a request that the node leaves, because its caller disconnected or its deadline passed, is kept until that deadline, which bounds its run, whatever else the backend server answers; so does the witness at the caller's node. A process that announced its end has not crashed for an abandoned request.

--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -198,7 +198,7 @@
 	n.members.SubscribeRecords(n.mergeRefused)
 	n.witness = crashtracker.NewWitness(n.crashTracker, n.members)
 	n.members.SubscribeChanges(func(rec registrar.Record) {
-		n.witness.ApplyProcess(time.Now(), rec.Member.Address, rec.Process())
+		n.witness.ApplyProcess(time.Now(), rec.Member.Address, rec.Process(), rec.Leaving)
 	})
 	n.config.Subscribe(func(r router.Router) { n.clusterLimiter.Configure(r.Workspaces()) })
 	n.members.Subscribe(n.clusterLimiter.Resize)
--- a/internal/app/assembler/marked_test.go
+++ b/internal/app/assembler/marked_test.go
@@ -161,8 +161,9 @@
 // noWitness ignores interrupted requests.
 type noWitness struct{}
 
-func (noWitness) RecordInterrupted(time.Time, string, uint64) {}
-func (noWitness) RecordResponse(time.Time, string)            {}
+func (noWitness) RecordInterrupted(time.Time, string, uint64)          {}
+func (noWitness) RecordAbandoned(time.Time, time.Time, string, uint64) {}
+func (noWitness) RecordResponse(time.Time, string)                     {}
 
 // TestBackendHeadersAreNotTheNodes guards against a backend server that speaks for the node beside it: that a request did
 // not run, or what load the node has.
--- a/internal/request/crashtracker/witness.go
+++ b/internal/request/crashtracker/witness.go
@@ -27,17 +27,22 @@
 type Witness interface {
 	// RecordInterrupted keeps a request that was interrupted at the node at the address or at its backend server.
 	RecordInterrupted(now time.Time, address string, fingerprint uint64)
-	// RecordResponse drops the requests that were interrupted before the backend server responded to one sent later.
+	// RecordAbandoned keeps a request that this node left while the node at the address had it; its backend server may run
+	// it until the given time.
+	RecordAbandoned(now, until time.Time, address string, fingerprint uint64)
+	// RecordResponse drops the requests that had ended before the backend server responded to one sent later.
 	RecordResponse(sent time.Time, address string)
-	// ApplyProcess counts a crash if the node at the address reports another process than the one that was interrupted.
-	ApplyProcess(now time.Time, address string, p BackendProcess)
+	// ApplyProcess counts a crash if the node at the address reports another process than the one that may have run requests;
+	// leaving says that the process is going to end as announced, which is no crash for abandoned requests.
+	ApplyProcess(now time.Time, address string, p BackendProcess, leaving bool)
 }
 
-// witnessed is a request that may have run on the process when it was interrupted.
+// witnessed is a request that may have run on the process until the given time; abandoned says that this node left it.
 type witnessed struct {
 	fingerprint uint64
 	process     BackendProcess
-	at          time.Time
+	until       time.Time
+	abandoned   bool
 }
 
 type witness struct {
@@ -49,6 +54,9 @@
 	// interrupted holds the requests by the address of the node.
 	interrupted map[string][]witnessed
 	count       atomic.Int64
+
+	// leaving holds, by the address of the node, the processes that announced their end.
+	leaving map[string]BackendProcess
 }
 
 // NewWitness returns a witness that counts crashes with the tracker.
@@ -57,13 +65,30 @@
 		tracker:     t,
 		processes:   p,
 		interrupted: map[string][]witnessed{},
+		leaving:     map[string]BackendProcess{},
 	}
 }
 
 // RecordInterrupted keeps a request that was interrupted at the node at the address or at its backend server.
 func (w *witness) RecordInterrupted(now time.Time, address string, fingerprint uint64) {
-	p := w.processes.BackendProcess(address)
-	if !p.Known() {
+	w.record(now, address, witnessed{
+		fingerprint: fingerprint,
+		until:       now,
+	})
+}
+
+// RecordAbandoned keeps a request that this node left while the node at the address had it.
+func (w *witness) RecordAbandoned(now, until time.Time, address string, fingerprint uint64) {
+	w.record(now, address, witnessed{
+		fingerprint: fingerprint,
+		until:       until,
+		abandoned:   true,
+	})
+}
+
+func (w *witness) record(now time.Time, address string, i witnessed) {
+	i.process = w.processes.BackendProcess(address)
+	if !i.process.Known() {
 		return
 	}
 	w.mu.Lock()
@@ -75,17 +100,13 @@
 		return
 	}
 	w.count.Add(1)
-	w.interrupted[address] = append(w.interrupted[address], witnessed{
-		fingerprint: fingerprint,
-		process:     p,
-		at:          now,
-	})
+	w.interrupted[address] = append(w.interrupted[address], i)
 }
 
 // removeExpired removes the requests that no longer count; w.mu is held.
 func (w *witness) removeExpired(now time.Time) {
 	for address := range w.interrupted {
-		w.keep(address, func(i witnessed) bool { return now.Sub(i.at) < witnessRetention })
+		w.keep(address, func(i witnessed) bool { return now.Sub(i.until) < witnessRetention })
 	}
 }
 
@@ -105,19 +126,25 @@
 	}
 }
 
-// RecordResponse drops the requests that were interrupted before the backend server responded to one sent later.
+// RecordResponse drops the requests that had ended before the backend server responded to one sent later.
 func (w *witness) RecordResponse(sent time.Time, address string) {
 	if w.count.Load() == 0 {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.keep(address, func(i witnessed) bool { return !i.at.Before(sent) })
+	w.keep(address, func(i witnessed) bool { return !i.until.Before(sent) })
 }
 
-// ApplyProcess counts a crash if the node at the address reports another process than the one that was interrupted.
-func (w *witness) ApplyProcess(now time.Time, address string, p BackendProcess) {
-	if !p.Known() || w.count.Load() == 0 {
+// ApplyProcess counts a crash if the node at the address reports another process than the one that may have run requests.
+func (w *witness) ApplyProcess(now time.Time, address string, p BackendProcess, leaving bool) {
+	if !p.Known() {
+		return
+	}
+	if leaving {
+		w.setLeaving(address, p)
+	}
+	if w.count.Load() == 0 {
 		return
 	}
 	for crashed, requests := range w.takeCrashed(now, address, p) {
@@ -125,13 +152,20 @@
 	}
 }
 
-// takeCrashed removes the requests that were interrupted on other processes than p, and returns those that count.
+func (w *witness) setLeaving(address string, p BackendProcess) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving[address] = p
+}
+
+// takeCrashed removes the requests that may have run on other processes than p, and returns those that count.
 func (w *witness) takeCrashed(now time.Time, address string, p BackendProcess) map[BackendProcess][]uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	crashed := map[BackendProcess][]uint64{}
 	w.keep(address, func(i witnessed) bool {
-		if i.process != p && now.Sub(i.at) < witnessRetention {
+		announced := i.abandoned && w.leaving[address] == i.process
+		if i.process != p && now.Sub(i.until) < witnessRetention && !announced {
 			crashed[i.process] = append(crashed[i.process], i.fingerprint)
 		}
 		return i.process == p
--- a/internal/request/crashtracker/witness_test.go
+++ b/internal/request/crashtracker/witness_test.go
@@ -58,8 +58,8 @@
 				w.RecordResponse(start.Add(tt.responded), address)
 			}
 			for _, next := range tt.next {
-				w.ApplyProcess(start.Add(tt.after), address, backendProcess(next))
-				w.ApplyProcess(start.Add(tt.after), "another", backendProcess("i-3"))
+				w.ApplyProcess(start.Add(tt.after), address, backendProcess(next), false)
+				w.ApplyProcess(start.Add(tt.after), "another", backendProcess("i-3"), false)
 			}
 			is.Equal(tracker.Quarantined(start, poison), tt.refused)
 		})
@@ -98,8 +98,52 @@
 				w.RecordInterrupted(start, "b", 100+f)
 			}
 			w.RecordInterrupted(now, "b", poison)
-			w.ApplyProcess(now, "b", backendProcess("i-2"))
+			w.ApplyProcess(now, "b", backendProcess("i-2"), false)
 			is.Equal(tracker.Quarantined(now, poison), tt.refused)
 		})
 	}
 }
+
+// TestWitnessOfAbandonedRequests guards against a request that crashes backend servers together with their nodes, and is
+// never counted because its caller disconnects before each crash; two crashes were counted before.
+func TestWitnessOfAbandonedRequests(t *testing.T) {
+	const address = "b"
+	tests := map[string]struct {
+		responded time.Duration // to a request sent that long after the caller left
+		leaving   bool
+		after     time.Duration // until another process reports
+		refused   bool
+	}{
+		"another process":                    {after: 2 * time.Second, refused: true},
+		"responded to another request":       {responded: time.Second, after: 2 * time.Second, refused: true},
+		"responded after the deadline":       {responded: 4 * time.Second, after: 5 * time.Second},
+		"shortly after the deadline":         {after: 12 * time.Second, refused: true},
+		"long after the deadline":            {after: 14 * time.Second},
+		"a process that announced its end":   {leaving: true, after: 2 * time.Second},
+		"announced its end, answered before": {responded: time.Second, leaving: true, after: 2 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := view{
+				cluster: newCluster(t),
+				self:    "a",
+			}
+			tracker := crashtracker.New(v, v, v, zerolog.Nop())
+			tracker.RecordCrash(start, backendProcess("0"), []uint64{poison})
+			tracker.RecordCrash(start, backendProcess("1"), []uint64{poison})
+			w := crashtracker.NewWitness(tracker, processes{
+				address: backendProcess("i-1"),
+			})
+			w.RecordAbandoned(start, start.Add(3*time.Second), address, poison)
+			if tt.responded > 0 {
+				w.RecordResponse(start.Add(tt.responded), address)
+			}
+			if tt.leaving {
+				w.ApplyProcess(start, address, backendProcess("i-1"), true)
+			}
+			w.ApplyProcess(start.Add(tt.after), address, backendProcess("i-2"), false)
+			is.Equal(tracker.Quarantined(start.Add(tt.after), poison), tt.refused)
+		})
+	}
+}
--- a/internal/stream/executor/crash.go
+++ b/internal/stream/executor/crash.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"os"
-	"slices"
 	"syscall"
 	"time"
 
@@ -15,14 +14,6 @@
 )
 
 const (
-	// interruptedMax bounds the interrupted requests that are kept until it is known whether the backend server crashed;
-	// it is above the number of slots.
-	interruptedMax = 1024
-
-	// interruptedRetention is how long interrupted requests are kept for that; if the backend server crashed and its
-	// closed port went unnoticed, the next process reports within this time.
-	interruptedRetention = 10 * time.Second
-
 	// probeTimeout bounds one connection of a probe.
 	probeTimeout = 400 * time.Millisecond
 )
@@ -47,48 +38,37 @@
 	return chivegauge.Refuse(chivegauge.CodeQuarantined, "backend servers died while they ran this request")
 }
 
-// interrupted holds the requests that were interrupted since the backend server last responded, and those for which a
-// crash of its current process was counted already.
-type interrupted struct {
-	fingerprints []uint64
-	last         time.Time
-	counted      map[uint64]bool
-}
-
-// withoutRequests returns the state without interrupted requests.
-func (i interrupted) withoutRequests() interrupted {
-	return interrupted{
-		counted: i.counted,
-	}
-}
-
-// uncounted returns each interrupted request once, without those for which the crash was counted already.
-func (i interrupted) uncounted() []uint64 {
-	list := make([]uint64, 0, len(i.fingerprints))
-	for _, f := range i.fingerprints {
-		if !i.counted[f] && !slices.Contains(list, f) {
-			list = append(list, f)
-		}
-	}
-	return list
-}
-
 // recordInterrupted keeps a request whose connection closed before the response, because the backend server may have
 // crashed.
 func (e *executor) recordInterrupted(now time.Time, c chivegauge.Call, r *streamer.Request) {
 	f := r.Fingerprint(c.Workspace, c.Route)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.interrupted.fingerprints) < interruptedMax {
-		e.interrupted.fingerprints = append(e.interrupted.fingerprints, f)
-	}
-	e.interrupted.last = now
+	e.interrupted.add(now, f, mayRun{
+		until: now,
+	})
 	if !e.probing {
 		e.probing = true
 		e.group.Go(e.probe)
 	}
 }
 
+// recordAbandoned keeps a request that the node left while the backend server ran it: the caller disconnected, or the
+// deadline passed. The backend server may run it up to its deadline, and crash.
+func (e *executor) recordAbandoned(now time.Time, c chivegauge.Call, r *streamer.Request) {
+	f := r.Fingerprint(c.Workspace, c.Route)
+	until := now
+	if c.Deadline.After(until) {
+		until = c.Deadline
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.interrupted.add(now, f, mayRun{
+		until:     until,
+		abandoned: true,
+	})
+}
+
 // probe connects to the backend server after an interruption, and records a crash if the port is closed: other requests
 // may avoid a backend server that fails, so that none of them would notice.
 func (e *executor) probe() {
@@ -124,27 +104,17 @@
 	}
 }
 
-// recordCrash counts a crash of the backend server against the interrupted requests, if the last one was interrupted
-// within interruptedRetention; e.mu is held.
+// recordCrash counts a crash of the backend server against the requests that it may have been running; e.mu is held.
 func (e *executor) recordCrash(now time.Time, by evidence) {
-	requests := e.interrupted.uncounted()
-	if len(requests) == 0 {
+	requests, expired := e.interrupted.takeUncounted(now, e.report.Leaving)
+	if len(requests)+expired == 0 {
 		return
 	}
-	age := now.Sub(e.interrupted.last)
-	counted := age < interruptedRetention
-	if counted {
+	if len(requests) > 0 {
 		e.CrashTracker.RecordCrash(now, e.report.process(), requests)
-		if e.interrupted.counted == nil {
-			e.interrupted.counted = map[uint64]bool{}
-		}
-		for _, f := range requests {
-			e.interrupted.counted[f] = true
-		}
 	}
 	e.StateLog.Warn().Str("Instance", e.report.Instance).Int64("Born", e.report.StartedAtMs).Str("Evidence", string(by)).
-		Int("Requests", len(requests)).Dur("AgeMs", age).Bool("Counted", counted).Msg("backend server crashed")
-	e.interrupted = e.interrupted.withoutRequests()
+		Int("Requests", len(requests)+expired).Int("Expired", expired).Bool("Counted", len(requests) > 0).Msg("backend server crashed")
 }
 
 // recordResponse clears the interrupted requests if the response shows that the backend server hasn't crashed: it was
@@ -160,6 +130,7 @@
 			ReadCloser: response.Body,
 			onEnd:      func() { e.recordCompletion(c, r) },
 			onError:    func() { e.recordInterrupted(time.Now(), c, r) },
+			onLeft:     func() { e.recordAbandoned(time.Now(), c, r) },
 		}
 	}
 	replaced := response.Status == http.StatusMisdirectedRequest
@@ -168,8 +139,8 @@
 	switch {
 	case replaced:
 		e.recordCrash(time.Now(), otherInstance)
-	case sent.After(e.interrupted.last):
-		e.interrupted = e.interrupted.withoutRequests()
+	default:
+		e.interrupted.removeEnded(sent)
 	}
 }
 
@@ -181,22 +152,39 @@
 	}
 }
 
-// watchedBody calls a function when the body has been read to its end or breaks off.
+// watchedBody calls one of its functions when the body has been read to its end, breaks off, or is left before its end.
 type watchedBody struct {
 	io.ReadCloser
 	onEnd   func()
 	onError func()
+	onLeft  func()
+	ended   bool
 }
 
 // Read reads from the body.
 func (b *watchedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	switch {
-	case err == nil:
+	case err == nil || b.ended:
 	case errors.Is(err, io.EOF):
-		b.onEnd()
-	case !errors.Is(err, os.ErrDeadlineExceeded):
-		b.onError()
+		b.end(b.onEnd)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		b.end(b.onLeft)
+	default:
+		b.end(b.onError)
 	}
 	return n, err
 }
+
+// Close closes the body.
+func (b *watchedBody) Close() error {
+	if !b.ended {
+		b.end(b.onLeft)
+	}
+	return b.ReadCloser.Close()
+}
+
+func (b *watchedBody) end(f func()) {
+	b.ended = true
+	f()
+}
--- a/internal/stream/executor/crash_test.go
+++ b/internal/stream/executor/crash_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -98,6 +99,82 @@
 	}
 }
 
+// waits responds when the context ends, as a backend server that still runs the request.
+func waits(ctx context.Context) (*streamer.Response, error) {
+	<-ctx.Done()
+	return nil, &connector.Error{
+		Sent:  true,
+		Cause: os.ErrDeadlineExceeded,
+	}
+}
+
+// TestAbandonedRequestsAreCounted guards against a request that crashes backend servers and is never refused, because its
+// caller disconnects before each crash: the backend server may run it up to its deadline, whatever else it responds to.
+func TestAbandonedRequestsAreCounted(t *testing.T) {
+	const leftAfter = 250 * time.Millisecond
+	ok := status(http.StatusOK, http.Header{})
+	tests := map[string]struct {
+		exchange func(context.Context) (*streamer.Response, error)
+		budget   time.Duration
+		answered []time.Duration // other requests that it runs, after the caller left
+		leaving  bool
+		closed   bool          // whether its port is closed when it is gone
+		after    time.Duration // when it is gone, after the caller left
+		counted  int
+	}{
+		"port closed":                        {exchange: waits, closed: true, after: 150 * time.Millisecond, counted: 1},
+		"next process reports":               {exchange: waits, after: 2 * time.Second, counted: 1},
+		"it responds to other requests":      {exchange: waits, answered: []time.Duration{10 * time.Millisecond, time.Second}, after: 2 * time.Second, counted: 1},
+		"gone shortly after the deadline":    {exchange: waits, after: 9 * time.Second, counted: 1},
+		"gone long after the deadline":       {exchange: waits, after: 15 * time.Second},
+		"it responds after the deadline":     {exchange: waits, answered: []time.Duration{4 * time.Second}, after: 5 * time.Second},
+		"the deadline passed":                {exchange: waits, budget: 100 * time.Millisecond, after: 2 * time.Second, counted: 1},
+		"the backend server was leaving":     {exchange: waits, leaving: true, after: 2 * time.Second},
+		"the request was never sent":         {exchange: fails(false), after: 2 * time.Second},
+		"left in the middle of its response": {exchange: streams(os.ErrDeadlineExceeded), after: 2 * time.Second, counted: 1},
+		"left before its response was read":  {exchange: streams(nil), after: 2 * time.Second, counted: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := &backend{
+					respond: tt.exchange,
+				}
+				e := newExecutor(b)
+				e.ApplyReport(time.Now(), report("i-1", 100, 1))
+				c := call()
+				c.Deadline = time.Now().Add(cmp.Or(tt.budget, 3*time.Second))
+				ctx, cancel := context.WithTimeout(t.Context(), leftAfter)
+				defer cancel()
+				response := e.Run(ctx, c, request())
+				if response.Body != nil {
+					_, _ = response.Body.Read(make([]byte, 1))
+					_, _ = response.Body.Read(make([]byte, 1))
+				}
+				response.Release()
+				left := time.Now()
+				b.respond = ok
+				for _, at := range tt.answered {
+					time.Sleep(time.Until(left.Add(at)))
+					e.Run(t.Context(), call(), request()).Release()
+				}
+				if tt.leaving {
+					e.MarkLeaving(time.Now(), "i-1", 100)
+				}
+				time.Sleep(time.Until(left.Add(tt.after)))
+				if tt.closed {
+					b.respond = refused
+					e.Run(t.Context(), call(), request()).Release()
+				}
+				e.ApplyReport(time.Now(), report("i-1", 200, 1))
+				synctest.Wait()
+				is.Equal(len(b.crashed), tt.counted)
+			})
+		})
+	}
+}
+
 // streams returns a response whose body is streamed and ends with the error.
 func streams(end error) func(context.Context) (*streamer.Response, error) {
 	return func(context.Context) (*streamer.Response, error) {
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -343,6 +343,9 @@
 		}
 		return chivegauge.Refuse(chivegauge.CodeNoBackend, "the backend server can't be reached: "+err.Error())
 	}
+	if ctx.Err() != nil {
+		e.recordAbandoned(time.Now(), c, r)
+	}
 	if ctx.Err() != nil && c.Budget(time.Now()) > 0 {
 		return chivegauge.RefuseMayHaveRun(chivegauge.CodeCancelled, "cancelled while the request ran: "+context.Cause(ctx).Error())
 	}
--- a/internal/stream/transporter/transporter.go
+++ b/internal/stream/transporter/transporter.go
@@ -25,6 +25,7 @@
 // with them.
 type Witness interface {
 	RecordInterrupted(now time.Time, address string, fingerprint uint64)
+	RecordAbandoned(now, until time.Time, address string, fingerprint uint64)
 	RecordResponse(sent time.Time, address string)
 }
 
@@ -57,6 +58,9 @@
 	if errors.As(err, &failed) && !failed.Sent {
 		return streamer.RefusalResponse(chivegauge.Refuse(chivegauge.CodeUnreachable, "the node can't be reached: "+err.Error())), picker.Load{}
 	}
+	if ctx.Err() != nil {
+		s.witnessAbandoned(time.Now(), m, call, r)
+	}
 	if ctx.Err() != nil && call.Budget(time.Now()) > 0 {
 		return streamer.RefusalResponse(chivegauge.RefuseMayHaveRun(chivegauge.CodeCancelled, "cancelled while the other node had the request: "+context.Cause(ctx).Error())), picker.Load{}
 	}
@@ -68,6 +72,15 @@
 	return streamer.RefusalResponse(chivegauge.RefuseMayHaveRun(chivegauge.CodeOutcomeUnknown, "the node broke off: "+err.Error())), picker.Load{}
 }
 
+// witnessAbandoned records that this node left a request that the member, or its backend server, may run up to its deadline.
+func (s *sender) witnessAbandoned(now time.Time, m chivegauge.Member, call chivegauge.Call, r *streamer.Request) {
+	until := now
+	if call.Deadline.After(until) {
+		until = call.Deadline
+	}
+	s.witness.RecordAbandoned(now, until, m.Address, r.Fingerprint(call.Workspace, call.Route))
+}
+
 // witnessResponse records what the response says about the backend server beside the member.
 func (s *sender) witnessResponse(sent time.Time, m chivegauge.Member, call chivegauge.Call, r *streamer.Request, response *streamer.Response) {
 	switch {
--- a/internal/stream/transporter/transporter_test.go
+++ b/internal/stream/transporter/transporter_test.go
@@ -16,8 +16,9 @@
 // noWitness ignores nodes that break off.
 type noWitness struct{}
 
-func (noWitness) RecordInterrupted(time.Time, string, uint64) {}
-func (noWitness) RecordResponse(time.Time, string)            {}
+func (noWitness) RecordInterrupted(time.Time, string, uint64)          {}
+func (noWitness) RecordAbandoned(time.Time, time.Time, string, uint64) {}
+func (noWitness) RecordResponse(time.Time, string)                     {}
 
 // TestNoResponse checks which refusal is returned if the context ends before the other node has responded.
 func TestNoResponse(t *testing.T) {
