--- a/internal/request/executor/executor.go
+++ b/internal/request/executor/executor.go
@@ -78,6 +78,10 @@
 	runs    map[tracker.Attempt]*Run
 	tokens  map[string]*Run
 	rate    chivegauge.RateLimit
+
+	// abandoned holds the cancelled calls that the backend server may still run.
+	abandoned []abandonedRun
+	draining  bool
 }
 
 // New returns an executor for the service; cancelGrace is how long a run that no sender waits for continues before it
@@ -171,6 +175,9 @@
 
 // SetDraining turns draining on or off.
 func (e *executor) SetDraining(on bool) {
+	e.mu.Lock()
+	e.draining = on
+	e.mu.Unlock()
 	e.limiter.SetDraining(on)
 }
 
--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -290,3 +290,69 @@
 		x.Wait()
 	})
 }
+
+// fragile is a backend server that crashes some time after the sender of a call has left.
+type fragile struct {
+	crashAfter time.Duration
+	crashedAt  atomic.Int64
+	runs       atomic.Int64
+}
+
+func (b *fragile) Up() bool {
+	at := b.crashedAt.Load()
+	return at == 0 || time.Now().UnixNano() < at
+}
+
+func (b *fragile) Send(ctx context.Context, _ chivegauge.Call, _ string) (chivegauge.Response, *chivegauge.Refusal) {
+	b.runs.Add(1)
+	<-ctx.Done()
+	if b.crashAfter > 0 {
+		b.crashedAt.Store(time.Now().Add(b.crashAfter).UnixNano())
+	}
+	return chivegauge.Response{}, chivegauge.RefuseMayHaveRun(chivegauge.CodeCancelled, "cancelled while the request ran")
+}
+
+// TestAbandonedCrashIsCounted guards against a request that crashes backend servers and is never refused, because its
+// sender leaves before each crash.
+func TestAbandonedCrashIsCounted(t *testing.T) {
+	tests := map[string]struct {
+		crashAfter time.Duration
+		draining   bool
+		quarantine bool
+	}{
+		"crash after the sender left":      {crashAfter: 150 * time.Millisecond, quarantine: true},
+		"crash long after the sender left": {crashAfter: 2500 * time.Millisecond, quarantine: true},
+		"crash after the deadline":         {crashAfter: 10 * time.Second},
+		"no crash":                         {},
+		"the end of a draining node's run": {crashAfter: 150 * time.Millisecond, draining: true},
+		"crash just after the sender left": {crashAfter: time.Nanosecond, quarantine: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := &fragile{
+					crashAfter: tt.crashAfter,
+				}
+				x := newExecutor(b)
+				for n := range uint64(3) {
+					c := call(n + 1)
+					c.Deadline = time.Now().Add(5 * time.Second)
+					ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+					x.Execute(ctx, c)
+					cancel()
+					time.Sleep(time.Second) // until the run is cancelled
+					x.SetDraining(tt.draining)
+					time.Sleep(5 * time.Second) // until its deadline
+					x.SetDraining(false)
+					b.crashedAt.Store(0)
+				}
+				last := call(10)
+				last.Deadline = time.Now().Add(time.Second)
+				response := x.Execute(t.Context(), last)
+				is.Equal(response.Refusal.Code == chivegauge.CodeQuarantined, tt.quarantine)
+				x.Wait()
+			})
+		})
+	}
+}
--- a/internal/request/executor/running.go
+++ b/internal/request/executor/running.go
@@ -58,7 +58,11 @@
 		return chivegauge.RefusalResponse(r.Call.AttemptID, refusal, r.Call.Tokens)
 	}
 	response, outcome := e.sendToBackend(r)
-	e.isolator.Release(admission, outcome)
+	if response.Refusal != nil && abandoned(response.Refusal) {
+		e.watchAbandoned(admission, r.Call)
+	} else {
+		e.isolator.Release(admission, outcome)
+	}
 	response.AttemptID = r.Call.AttemptID
 	return response
 }
