Keep an acknowledged departure over a restart of the node

Cause: a stopping node removed the record that held the departure, and the next process took the late report for the first news; other nodes believed its newer record. By the same cause a report that comes before the list of nodes was read, or a departure that the store did not take, undid it.

Fix: the record is removed only when the leaving backend server accepts no connections any more. Reports are published after the list was read. A departure of a process is final at all nodes, which tell the restarted one until it knows.

Previous() is gone; TestPreviousRecord checks the same record where it is now delivered, to the subscriber of departures.

--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -138,6 +138,10 @@
 	forwarder      forwarder.Forwarder
 	bounds         atomic.Pointer[Bounds]
 	group          sync.WaitGroup
+
+	// departed is the last record that said that the backend server is leaving, by an earlier process of this node.
+	departedMu sync.Mutex
+	departed   registrar.Record
 }
 
 // New returns a node with the settings, or an error if its metrics can't be registered.
@@ -180,6 +184,7 @@
 		StartupTime:   listStartupTime,
 		StaleMax:      listStaleMax,
 		RetryMax:      storeRetryMax,
+		Describe:      n.describe,
 	}, stores.Records, c, own, n.log)
 	n.config = syncer.New(syncConfig(s.Bounds), syncer.Parts{
 		Now:     timekeeper.Now,
@@ -196,6 +201,7 @@
 	n.clusterLimiter = clusterlimiter.New(timekeeper.Now, n.members, c, initial)
 	n.crashTracker = crashtracker.New(n.members, c, n, n.log)
 	n.members.SubscribeRecords(n.mergeRefused)
+	n.members.SubscribeDepartures(n.applyDeparture)
 	n.witness = crashtracker.NewWitness(n.crashTracker, n.members)
 	n.members.SubscribeChanges(func(rec registrar.Record) {
 		n.witness.ApplyProcess(time.Now(), rec.Member.Address, rec.Process(), rec.Leaving)
--- a/internal/app/assembler/listed_test.go
+++ b/internal/app/assembler/listed_test.go
@@ -78,7 +78,8 @@
 // recordingNode is a node beside a backend server that records the headers of requests.
 type recordingNode struct {
 	*testNode
-	heads chan http.Header
+	server *http.Server
+	heads  chan http.Header
 }
 
 func newRecordingNode(t *testing.T, s *store, group *errgroup.Group, service string) *recordingNode {
@@ -90,7 +91,10 @@
 		ReadHeaderTimeout: testTimeout,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			r.Header.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
-			heads <- r.Header
+			select {
+			case heads <- r.Header:
+			default:
+			}
 			w.Header().Set(headerNames().Attempt, r.Header.Get(headerNames().Attempt))
 		}),
 	}
@@ -101,6 +105,7 @@
 	t.Cleanup(func() { _ = server.Close() })
 	return &recordingNode{
 		testNode: newTestNodeOf(t, s, group, service, l.Addr().String()),
+		server:   server,
 		heads:    heads,
 	}
 }
--- a/internal/app/assembler/stop.go
+++ b/internal/app/assembler/stop.go
@@ -98,15 +98,14 @@
 	}
 }
 
-// withdraw removes the record of the node if its backend server is leaving. It returns in time also if an earlier write
-// of the record still waits for the store.
+// withdraw removes the record of the node if its backend server has left: until that has ended, the record tells the next
+// process of the node of the departure. It returns in time also if an earlier write of the record still waits for the store.
 func (n *node) withdraw(ctx context.Context) {
-	r, ok := n.executor.LastReport()
-	if !ok || !r.Leaving {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 	defer cancel()
+	if r, ok := n.executor.LastReport(); !ok || !r.Leaving || !n.executor.Ended(ctx) {
+		return
+	}
 	done := make(chan struct{})
 	n.group.Go(func() {
 		defer close(done)
--- a/internal/app/assembler/stop_test.go
+++ b/internal/app/assembler/stop_test.go
@@ -15,6 +15,7 @@
 	"github.com/chivegauge/chivegauge/internal/cluster/syncer"
 	"github.com/chivegauge/chivegauge/internal/request/router"
 	"github.com/chivegauge/chivegauge/internal/stream/executor"
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 )
@@ -30,6 +31,13 @@
 type store struct {
 	mu      sync.Mutex
 	records map[string]registrar.Record
+	down    bool // records can't be read or written
+}
+
+func (s *store) setDown(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = on
 }
 
 func (s *store) Read(context.Context) (syncer.ReadResult, error) {
@@ -80,6 +88,9 @@
 func (s *store) List(context.Context, bool) ([]registrar.Record, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return nil, errors.New("the store is down")
+	}
 	var list []registrar.Record
 	for _, r := range s.records {
 		list = append(list, r)
@@ -90,6 +101,9 @@
 func (s *store) Put(_ context.Context, r registrar.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return errors.New("the store is down")
+	}
 	s.records[r.Member.Address] = r
 	return nil
 }
@@ -101,6 +115,13 @@
 	return nil
 }
 
+func (s *store) record(address string) (registrar.Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec, ok := s.records[address]
+	return rec, ok
+}
+
 func (s *store) state(address string) chivegauge.MemberState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,9 +147,11 @@
 // testNode is a node with a local backend server.
 type testNode struct {
 	assembler.Node
-	callers string
-	address string
-	stop    context.CancelFunc
+	settings assembler.Settings
+	callers  string
+	address  string
+	stop     context.CancelFunc
+	ended    chan struct{} // closed when the node has stopped
 }
 
 // newTestNode starts a node beside a backend server of the service "booking".
@@ -176,26 +199,43 @@
 			StopTime:    6 * time.Second,
 		},
 	}
+	n := startTestNode(t, s, group, settings)
+	await(t, n.Ready)
+	n.ApplyReport(context.Background(), n.report(1))
+	return n
+}
+
+// startTestNode starts a node whose backend server has not reported yet.
+func startTestNode(t testing.TB, s *store, group *errgroup.Group, settings assembler.Settings) *testNode {
 	node, err := assembler.New(settings, assembler.Stores{
 		Configuration: s,
 		Records:       s,
 	})
 	is.New(t).NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
-	group.Go(func() error { return node.Run(ctx) })
-	await(t, node.Ready)
-	node.ApplyReport(ctx, executor.Report{
-		Instance:    "i-" + settings.CallerAddress,
-		StartedAtMs: 1,
-		Sequence:    1,
-		Service:     service,
-		Slots:       8,
+	ended := make(chan struct{})
+	group.Go(func() error {
+		defer close(ended)
+		return node.Run(ctx)
 	})
 	return &testNode{
-		Node:    node,
-		callers: settings.CallerAddress,
-		address: settings.Member.Address,
-		stop:    cancel,
+		Node:     node,
+		settings: settings,
+		callers:  settings.CallerAddress,
+		address:  settings.Member.Address,
+		stop:     cancel,
+		ended:    ended,
+	}
+}
+
+// report returns a report of the process that the backend server beside the node has from its start.
+func (n *testNode) report(sequence uint64) executor.Report {
+	return executor.Report{
+		Instance:    "i-" + n.callers,
+		StartedAtMs: 1,
+		Sequence:    sequence,
+		Service:     n.settings.Member.Service,
+		Slots:       8,
 	}
 }
 
--- a/internal/cluster/registrar/record.go
+++ b/internal/cluster/registrar/record.go
@@ -40,6 +40,12 @@
 	}
 }
 
+// Departed reports whether the record says that the process of the backend server is leaving, which is final; a process
+// of the same instance that started earlier has left, too.
+func (r Record) Departed(p crashtracker.BackendProcess) bool {
+	return r.Leaving && r.Instance == p.Instance && p.StartedAtMs <= r.StartedAtMs
+}
+
 // processTimeMax is how far in the future the start time of a node's process may be, by its own clock.
 const processTimeMax = 24 * time.Hour
 
@@ -68,6 +74,28 @@
 	return r.Change > than.Change
 }
 
+// WithDepartureOf returns the record with the departure that an older record of its address holds, unless a later process of
+// the backend server has reported.
+func (r Record) WithDepartureOf(old Record) Record {
+	switch {
+	case !old.Leaving:
+		return r
+	case r.Instance == "":
+		r.Instance = old.Instance
+		r.StartedAtMs = old.StartedAtMs
+		r.Sequence = old.Sequence
+	case !old.Departed(r.Process()):
+		return r
+	}
+	return r.WithLeaving()
+}
+
+// WithLeaving returns the record with the backend server leaving.
+func (r Record) WithLeaving() Record {
+	r.Leaving = true
+	return r
+}
+
 // WithState returns the record with the node in another state.
 func (r Record) WithState(s chivegauge.MemberState) Record {
 	r.Member = r.Member.WithState(s)
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -47,6 +47,9 @@
 
 	// RetryMax is the longest backoff after a failed call.
 	RetryMax time.Duration
+
+	// Describe returns the record of this node with the state of its backend server, once the list has been read.
+	Describe func(Record) Record
 }
 
 // Registrar keeps the list of nodes.
@@ -63,8 +66,6 @@
 	Alive() []chivegauge.Member
 	// Len returns the number of nodes that have not left.
 	Len() int
-	// Previous returns the record that an earlier process wrote at this address, or false if there was none.
-	Previous() (Record, bool)
 	// BackendProcess returns the process of the backend server beside another node that reported last.
 	BackendProcess(address string) crashtracker.BackendProcess
 	// Update changes the record of this node, notifies the other nodes and writes it; the error is that of the write.
@@ -79,6 +80,9 @@
 	SubscribeRecords(f func(rec Record))
 	// SubscribeChanges registers a function that is called with each record that replaces an older one.
 	SubscribeChanges(f func(rec Record))
+	// SubscribeDepartures registers a function that is called with a record of this node's address that says that a backend
+	// server is leaving: one that an earlier process of this node wrote or sent.
+	SubscribeDepartures(f func(rec Record))
 }
 
 type registrar struct {
@@ -89,6 +93,7 @@
 	subscribers []func(n int)
 	onRecord    []func(rec Record)
 	onChange    []func(rec Record)
+	onDeparture []func(rec Record)
 	byService   atomic.Pointer[map[string][]chivegauge.Member]
 	alive       atomic.Pointer[[]chivegauge.Member]
 	synced      atomic.Bool
@@ -167,16 +172,6 @@
 	return list
 }
 
-// Previous returns the record of an earlier process at this address.
-func (r *registrar) Previous() (Record, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.previous == nil {
-		return Record{}, false
-	}
-	return *r.previous, true
-}
-
 // Serve reads the list, writes the record of this node, and then reads the list periodically.
 func (r *registrar) Serve(ctx context.Context) error {
 	wait := r.cfg.StartupPeriod
@@ -217,7 +212,7 @@
 		return r.repair(ctx, list)
 	}
 	r.synced.Store(true)
-	return r.Update(ctx, r.supersedePrevious)
+	return r.Update(ctx, func(rec Record) Record { return r.cfg.Describe(r.supersedePrevious(rec)) })
 }
 
 // repair writes the record of this node again if the store did not acknowledge it, or if a delayed write of this
@@ -245,26 +240,15 @@
 	return false
 }
 
-// supersedePrevious raises the incarnation of the record above that of an earlier process at this address.
+// supersedePrevious raises the incarnation of the record above that of an earlier process at this address, and keeps what
+// still holds of it.
 func (r *registrar) supersedePrevious(rec Record) Record {
 	if r.previous == nil {
 		return rec
 	}
 	rec.Member = rec.Member.WithIncarnationAbove(r.previous.Member)
 	rec.Refused = r.previous.Refused
-	return r.inheritLeaving(rec)
-}
-
-// inheritLeaving keeps the backend server marked as leaving, until another process of it reports.
-func (r *registrar) inheritLeaving(rec Record) Record {
-	if !r.previous.Leaving || rec.Instance != "" {
-		return rec
-	}
-	rec.Instance = r.previous.Instance
-	rec.StartedAtMs = r.previous.StartedAtMs
-	rec.Sequence = r.previous.Sequence
-	rec.Leaving = true
-	return rec
+	return rec.WithDepartureOf(*r.previous)
 }
 
 // mergeRecord stores a record that is newer than the stored one of its address, and reports whether it is; in the first
@@ -277,31 +261,43 @@
 	for _, f := range r.onRecord {
 		f(rec)
 	}
-	if !r.replace(rec, first) {
+	if rec.Leaving && rec.Member.Address == r.Self().Address {
+		for _, f := range r.onDeparture {
+			f(rec)
+		}
+	}
+	known, replaced := r.replace(rec, first)
+	if known.Leaving && !rec.Leaving && !known.Newer(rec) {
+		r.notify([]Record{known}, known) // its node does not know of the departure
+	}
+	if !replaced {
 		return false
 	}
 	for _, f := range r.onChange {
-		f(rec)
+		f(known)
 	}
 	return true
 }
 
-// replace stores the record of another node if it is newer, and reports whether it is; first says that it was read when
-// this node started.
-func (r *registrar) replace(rec Record, first bool) bool {
+// replace stores the record of another node if it is newer, and returns what is known of the node then, and whether the
+// record was newer; first says that it was read when this node started. A departure is final: a node that was restarted may
+// not know of it any more.
+func (r *registrar) replace(rec Record, first bool) (Record, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if rec.Member.Address == r.own.Member.Address {
 		if first && rec.Member.Incarnation != r.own.Member.Incarnation {
 			r.previous = &rec
 		}
-		return false
+		return rec, false
 	}
-	if old, ok := r.records[rec.Member.Address]; ok && !rec.Newer(old) {
-		return false
+	old, ok := r.records[rec.Member.Address]
+	if ok && !rec.Newer(old) {
+		return old, false
 	}
+	rec = rec.WithDepartureOf(old)
 	r.records[rec.Member.Address] = rec
-	return true
+	return rec, true
 }
 
 // Merge stores the record of another node; a node that was unknown before is sent the record of this node.
--- a/internal/cluster/registrar/registrar_test.go
+++ b/internal/cluster/registrar/registrar_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
+	"github.com/chivegauge/chivegauge/internal/request/crashtracker"
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
@@ -73,6 +74,9 @@
 	store *store
 	mu    sync.Mutex
 	nodes map[string]registrar.Registrar
+
+	// departures receives the records that tell a node of a departure that its earlier process acknowledged.
+	departures chan registrar.Record
 }
 
 func newFleet() *fleet {
@@ -80,7 +84,8 @@
 		store: &store{
 			records: map[string]registrar.Record{},
 		},
-		nodes: map[string]registrar.Registrar{},
+		nodes:      map[string]registrar.Registrar{},
+		departures: make(chan registrar.Record, 100),
 	}
 }
 
@@ -116,7 +121,14 @@
 		StartupTime:   time.Second,
 		RetryMax:      20 * time.Millisecond,
 		StaleMax:      50 * time.Millisecond,
+		Describe:      func(rec registrar.Record) registrar.Record { return rec },
 	}, f.store, f, r, zerolog.New(io.Discard))
+	n.SubscribeDepartures(func(rec registrar.Record) {
+		select {
+		case f.departures <- rec:
+		default:
+		}
+	})
 	f.mu.Lock()
 	f.nodes[r.Member.Address] = n
 	f.mu.Unlock()
@@ -187,16 +199,59 @@
 	is.NoErr(f.store.Put(context.Background(), before))
 	n := f.start(t, record(nodeA, 2))
 	eventually(t, "the list", n.Synced)
-	previous, ok := n.Previous()
-	is.True(ok)
+	previous := <-f.departures
 	is.True(previous.Leaving)
 	is.Equal(previous.Instance, "i-a")
+	is.Equal(previous.Member.Incarnation, uint64(1))
 	eventually(t, "the record of the next process to be leaving", func() bool {
 		list, err := f.store.List(context.Background(), false)
 		return err == nil && list[0].Member.Incarnation == 2 && list[0].Leaving
 	})
 }
 
+// TestDepartureIsFinal guards against a node that was restarted and forgot that it acknowledged the departure of its
+// backend server: the other nodes hold to it, and tell the node, unless another process of the backend server reports.
+func TestDepartureIsFinal(t *testing.T) {
+	tests := map[string]struct {
+		instance    string
+		startedAtMs int64
+		leaving     bool
+	}{
+		"same process":             {instance: "i-a", startedAtMs: 1000, leaving: true},
+		"an earlier process":       {instance: "i-a", startedAtMs: 900, leaving: true},
+		"a later process":          {instance: "i-a", startedAtMs: 1001},
+		"another instance's start": {instance: "i-b", startedAtMs: 1000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet()
+			other := f.start(t, record(nodeB, 1))
+			eventually(t, "the list", other.Synced)
+			rec := record(nodeA, 1).WithLeaving()
+			rec.Instance = "i-a"
+			rec.StartedAtMs = 1000
+			other.Merge(rec)
+			n := f.start(t, record(nodeA, 2))
+			eventually(t, "the list", n.Synced)
+			is.NoErr(n.Update(context.Background(), func(r registrar.Record) registrar.Record {
+				r.Instance = tt.instance
+				r.StartedAtMs = tt.startedAtMs
+				return r
+			}))
+			process := crashtracker.BackendProcess{
+				Instance:    tt.instance,
+				StartedAtMs: tt.startedAtMs,
+			}
+			eventually(t, "the record of the next process", func() bool { return other.BackendProcess(nodeA) == process })
+			is.Equal(len(other.Service("booking")) == 0, tt.leaving)
+			if tt.leaving {
+				is.True((<-f.departures).Departed(process))
+			}
+		})
+	}
+}
+
 // TestClockSetBack checks that the record of a process overrides that of the previous process although its clock is
 // behind.
 func TestClockSetBack(t *testing.T) {
--- a/internal/cluster/registrar/subscribers.go
+++ b/internal/cluster/registrar/subscribers.go
@@ -14,3 +14,9 @@
 func (r *registrar) SubscribeChanges(f func(rec Record)) {
 	r.onChange = append(r.onChange, f)
 }
+
+// SubscribeDepartures registers a function that is called with a record of this node's address that says that a backend
+// server is leaving: one that an earlier process of this node wrote or sent.
+func (r *registrar) SubscribeDepartures(f func(rec Record)) {
+	r.onDeparture = append(r.onDeparture, f)
+}
--- a/internal/stream/executor/crash.go
+++ b/internal/stream/executor/crash.go
@@ -94,6 +94,11 @@
 	e.probing = false
 }
 
+// Ended reports whether the backend server accepts no connections any more.
+func (e *executor) Ended(ctx context.Context) bool {
+	return errors.Is(e.Backend.Connect(ctx), syscall.ECONNREFUSED)
+}
+
 // recordUnreachable starts the backoff after a failed connection, and records a crash if the port is closed.
 func (e *executor) recordUnreachable(now time.Time, err error) {
 	e.mu.Lock()
@@ -111,7 +116,7 @@
 		return
 	}
 	if len(requests) > 0 {
-		e.CrashTracker.RecordCrash(now, e.report.process(), requests)
+		e.CrashTracker.RecordCrash(now, e.report.Process(), requests)
 	}
 	e.StateLog.Warn().Str("Instance", e.report.Instance).Int64("Born", e.report.StartedAtMs).Str("Evidence", string(by)).
 		Int("Requests", len(requests)+expired).Int("Expired", expired).Bool("Counted", len(requests) > 0).Msg("backend server crashed")
--- a/internal/stream/executor/executor.go
+++ b/internal/stream/executor/executor.go
@@ -34,6 +34,8 @@
 	MarkLeaving(now time.Time, instance string, startedAtMs int64) bool
 	// LastReport returns the last report, and whether there is one.
 	LastReport() (Report, bool)
+	// Ended reports whether the backend server accepts no connections any more.
+	Ended(ctx context.Context) bool
 	// Load returns the running and waiting requests, the limit and the failure rate.
 	Load() picker.Load
 	// BeginStop refuses further requests that are not expected to end before the end.
--- a/internal/stream/executor/report.go
+++ b/internal/stream/executor/report.go
@@ -38,7 +38,8 @@
 	return r.Instance == other.Instance && r.StartedAtMs == other.StartedAtMs
 }
 
-func (r Report) process() crashtracker.BackendProcess {
+// Process returns the process that the report is from.
+func (r Report) Process() crashtracker.BackendProcess {
 	return crashtracker.BackendProcess{
 		Instance:    r.Instance,
 		StartedAtMs: r.StartedAtMs,
