Bound the heads of responses, and messages between nodes

Another operator's report: a backend server sent bytes without end, the machine that had called it kept them all, and the requests of its other clients ended with its process.

Cause here: chivegauge node accepted heads of 10 MB, the default of Go's client, on each connection to its backend server; both kinds of node read messages of other nodes whole, whatever their size. The streaming node bounds heads and bodies of backend servers already.

Fix: 64 KB for heads from backend servers and stores, 512 KB between nodes, which carry them as JSON; 8 MB for a message of the streaming node, 16 MB for a control response.

--- a/internal/app/assembler/peers.go
+++ b/internal/app/assembler/peers.go
@@ -75,13 +75,26 @@
 	return res
 }
 
+// messageMaxBytes is the maximum size of a message between nodes or of the response to one, of which the largest holds a
+// configuration.
+const messageMaxBytes = 8 << 20
+
+// readMessage returns the whole message, or an error if it is too large.
+func readMessage(r io.Reader) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, messageMaxBytes+1))
+	if err == nil && len(b) > messageMaxBytes {
+		err = errors.New("the message is too large")
+	}
+	return b, err
+}
+
 // decode returns the message in the body of the request, or an error that names what was expected.
 func decode[T any](r *streamer.Request, what string) (T, error) {
 	var message T
 	if r.Body == nil {
 		return message, errors.Errorf("the %s has no body", what)
 	}
-	b, err := io.ReadAll(r.Body)
+	b, err := readMessage(r.Body)
 	if err != nil {
 		return message, errors.Wrap(err, "read "+what)
 	}
@@ -201,7 +214,11 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(res.Body).Decode(out); err != nil {
+	answer, err := readMessage(res.Body)
+	if err != nil {
+		return errors.Wrap(err, "read response")
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
 		return errors.Wrap(err, "decode response")
 	}
 	return nil
--- a/internal/base/storer/storer.go
+++ b/internal/base/storer/storer.go
@@ -16,6 +16,9 @@
 // ValueMaxBytes is the maximum size of a stored value in bytes.
 const ValueMaxBytes = 1 << 20
 
+// headMaxBytes is the maximum size of the head of a response.
+const headMaxBytes = 64 << 10
+
 var (
 	// ErrConflict is returned if the stored version differs from the expected one.
 	ErrConflict = errors.New("store: version conflict")
@@ -55,8 +58,9 @@
 		watchWait: watchWait,
 		client: &http.Client{
 			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 4,
-				IdleConnTimeout:     time.Minute,
+				MaxIdleConnsPerHost:    4,
+				IdleConnTimeout:        time.Minute,
+				MaxResponseHeaderBytes: headMaxBytes,
 			},
 		},
 	}
--- a/internal/cluster/dialer/dialer.go
+++ b/internal/cluster/dialer/dialer.go
@@ -18,6 +18,10 @@
 	dialTimeout  = time.Second
 	schemePlain  = "http://"
 	schemeSecure = "https://"
+
+	// headMaxBytes and bodyMaxBytes are the maximum sizes of the head and the body of a response.
+	headMaxBytes = 64 << 10
+	bodyMaxBytes = 16 << 20
 )
 
 // Dialer creates control clients and counts the bytes that they send and receive.
@@ -44,18 +48,36 @@
 		d.scheme = schemeSecure
 	}
 	d.client = &http.Client{
-		Transport: &http.Transport{
-			TLSClientConfig:     cfg,
-			DialContext:         d.dial,
-			MaxIdleConnsPerHost: idlePerPeer,
-			MaxIdleConns:        idleTotal,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+		Transport: &boundedTransport{
+			RoundTripper: &http.Transport{
+				TLSClientConfig:        cfg,
+				DialContext:            d.dial,
+				MaxIdleConnsPerHost:    idlePerPeer,
+				MaxIdleConns:           idleTotal,
+				IdleConnTimeout:        idleTimeout,
+				DisableCompression:     true,
+				MaxResponseHeaderBytes: headMaxBytes,
+			},
 		},
 	}
 	return d
 }
 
+// boundedTransport bounds the bodies of responses, which a client reads into memory.
+type boundedTransport struct {
+	http.RoundTripper
+}
+
+// RoundTrip sends the request; reading more than bodyMaxBytes of its response fails.
+func (b *boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := b.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	res.Body = http.MaxBytesReader(nil, res.Body, bodyMaxBytes)
+	return res, nil
+}
+
 func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	nd := &net.Dialer{
 		Timeout: dialTimeout,
--- a/internal/request/executor/backend.go
+++ b/internal/request/executor/backend.go
@@ -29,6 +29,9 @@
 const (
 	idleConnTimeout = 90 * time.Second
 	dialTimeout     = 500 * time.Millisecond
+
+	// headMaxBytes is the maximum size of the head of a response; a faulty backend server may send one without end.
+	headMaxBytes = 64 << 10
 )
 
 // NewBackend returns the backend server at the URL. At most connections connections to it are open, and a response body
@@ -43,11 +46,12 @@
 				return http.ErrUseLastResponse
 			},
 			Transport: &http.Transport{
-				MaxConnsPerHost:     connections,
-				MaxIdleConnsPerHost: connections,
-				MaxIdleConns:        connections,
-				IdleConnTimeout:     idleConnTimeout,
-				DisableCompression:  true,
+				MaxConnsPerHost:        connections,
+				MaxIdleConnsPerHost:    connections,
+				MaxIdleConns:           connections,
+				IdleConnTimeout:        idleConnTimeout,
+				DisableCompression:     true,
+				MaxResponseHeaderBytes: headMaxBytes,
 			},
 		},
 	}
--- a/internal/request/transporter/transporter.go
+++ b/internal/request/transporter/transporter.go
@@ -30,6 +30,10 @@
 	awaitMax    = time.Second
 	awaitMargin = 500 * time.Millisecond
 
+	// headMaxBytes is the maximum size of the head of a response, which holds the header of the backend server's response
+	// as JSON: 64 KB at most, and up to six times as much with escapes.
+	headMaxBytes = 512 << 10
+
 	// awaitFailuresMax is the number of failed queries in succession after which the outcome of an attempt is unknown.
 	awaitFailuresMax = 2
 
@@ -96,11 +100,12 @@
 func newClient(cfg *tls.Config, keepAlive bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			TLSClientConfig:     cfg,
-			MaxIdleConnsPerHost: idleConnsPerPeer,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableCompression:  true,
-			DisableKeepAlives:   !keepAlive,
+			TLSClientConfig:        cfg,
+			MaxIdleConnsPerHost:    idleConnsPerPeer,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+			DisableKeepAlives:      !keepAlive,
+			MaxResponseHeaderBytes: headMaxBytes,
 		},
 	}
 }
--- a/internal/stream/connector/connector_test.go
+++ b/internal/stream/connector/connector_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -226,8 +227,8 @@
 	}
 }
 
-// TestEndlessResponse checks that a peer which sends bytes without end, in a head or in the body of a response to another
-// request, is given up on.
+// TestEndlessResponse guards against a backend server that fills the memory of the node: one that sends bytes without end,
+// in a head, in the framing of a body, or in the body of a response to another request, is given up on.
 func TestEndlessResponse(t *testing.T) {
 	const endBytes = 64 << 20 // well above what is read and what the sockets buffer
 	tests := map[string]string{
@@ -236,14 +237,24 @@
 		"header":          "HTTP/1.1 200 OK\r\nX: ",
 		"headers":         "HTTP/1.1 200 OK\r\n",
 		"body of another": "HTTP/1.1 200 OK\r\nAttempt: 0\r\n\r\n",
+		"interim answers": "",
+		"chunk size":      "HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"chunk extension": "HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+		"extensions":      "HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"trailer":         "HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
+		"trailers":        "HTTP/1.1 200 OK\r\nAttempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	}
+	fills := map[string]string{
+		"headers":         "X: y\r\n",
+		"interim answers": "HTTP/1.1 102 Processing\r\n\r\n",
+		"chunk size":      "0",
+		"extensions":      "1;" + strings.Repeat("e", 1000) + "\r\nx\r\n",
+		"trailers":        "X: y\r\n",
 	}
 	for name, head := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			fill := strings.Repeat("x", 1<<16)
-			if name == "headers" {
-				fill = strings.Repeat("X: y\r\n", 1<<12)
-			}
+			fill := strings.Repeat(cmp.Or(fills[name], "xxxxxx"), 1<<12)
 			written := make(chan int, 1)
 			b := start(t, func(_ int, r *http.Request, nc net.Conn) bool {
 				_, _ = io.Copy(io.Discard, r.Body)
