End the fields that Connection lists at chivegauge node

Backend servers and callers got fields that a Connection header lists, which concern one connection (RFC 9110, 7.6.1).

Cause: the lists of fields leave out names that are always hop-by-hop.

Fix: both directions use the same deletion as the streaming node.

Evidence: TestEndToEnd is of the new function; before, a caller's 'Connection: close, X-Own' was seen to leave X-Own among the fields (a trial with the listener).

--- a/header_test.go
+++ b/header_test.go
@@ -1,6 +1,7 @@
 package chivegauge_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/chivegauge/chivegauge"
@@ -35,3 +36,36 @@
 		})
 	}
 }
+
+// TestEndToEnd guards against fields that Connection lists and that are passed on all the same, and against fields of the
+// system that a caller or a backend server sends.
+func TestEndToEnd(t *testing.T) {
+	tests := map[string]struct {
+		connection []string
+		kept       []string
+	}{
+		"none":                 {kept: []string{"X-One", "X-Two"}},
+		"one":                  {connection: []string{"close, X-One"}, kept: []string{"X-Two"}},
+		"other case and space": {connection: []string{"x-one ,\tX-TWO"}},
+		"several fields":       {connection: []string{"keep-alive", "X-Two", "X-One"}},
+		"odd lists":            {connection: []string{"", ",,", " ", "X-Three"}, kept: []string{"X-One", "X-Two"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			fields := chivegauge.OwnHeaderNames().EndToEnd(map[string][]string{
+				"Connection":        tt.connection,
+				"Keep-Alive":        {"timeout=5"},
+				"Chivegauge-Root":   {"1"},
+				"Chivegauge-Levels": {"1"},
+				"X-One":             {"1"},
+				"X-Two":             {"1"},
+			})
+			names := []string{}
+			for _, f := range fields {
+				names = append(names, f.Name)
+			}
+			slices.Sort(names)
+			is.New(t).Equal(names, append([]string{}, tt.kept...))
+		})
+	}
+}
--- a/headernames.go
+++ b/headernames.go
@@ -76,3 +76,22 @@
 		}
 	}
 }
+
+// EndToEnd returns the fields of a message from a caller or a backend server that are passed on as a list: neither the
+// hop-by-hop ones, with those that Connection lists, nor the system's own. It changes the header.
+func (n HeaderNames) EndToEnd(h map[string][]string) []HeaderField {
+	n.DeleteListed(h)
+	fields := make([]HeaderField, 0, len(h))
+	for name, values := range h {
+		if InternalHeader(name) || HopByHopHeader(name) {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, HeaderField{
+				Name:  name,
+				Value: v,
+			})
+		}
+	}
+	return fields
+}
--- a/internal/listener/server/reply.go
+++ b/internal/listener/server/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"strconv"
 
 	"github.com/chivegauge/chivegauge"
@@ -46,18 +47,16 @@
 	c.Response.SetBodyRaw(body)
 }
 
-// RequestFields returns the header fields of a request that are forwarded to the backend server.
+// RequestFields returns the header fields of a request that are forwarded to the backend server: those that Connection
+// lists end at this node.
 func RequestFields(c *app.RequestContext) []chivegauge.HeaderField {
-	var fields []chivegauge.HeaderField
+	h := http.Header{}
 	c.Request.Header.VisitAll(func(k, v []byte) {
-		if name := string(k); chivegauge.RequestHeader(name) {
-			fields = append(fields, chivegauge.HeaderField{
-				Name:  name,
-				Value: string(v),
-			})
+		if name := string(k); chivegauge.RequestHeader(name) || name == "Connection" {
+			h.Add(name, string(v))
 		}
 	})
-	return fields
+	return chivegauge.OwnHeaderNames().EndToEnd(h)
 }
 
 // Target returns the path and query of the request as they were sent.
--- a/internal/request/executor/backend.go
+++ b/internal/request/executor/backend.go
@@ -86,7 +86,7 @@
 	}
 	return chivegauge.Response{
 		Status:    res.StatusCode,
-		Header:    ResponseFields(res.Header),
+		Header:    chivegauge.OwnHeaderNames().EndToEnd(res.Header),
 		Body:      body,
 		RateLimit: rateLimit(res.Header),
 	}, nil
@@ -151,21 +151,3 @@
 func SingleUseBody(b []byte) io.ReadCloser {
 	return io.NopCloser(io.MultiReader(bytes.NewReader(b)))
 }
-
-// ResponseFields returns the response header fields that are passed to the caller: those that are neither internal nor
-// specific to the connection.
-func ResponseFields(h http.Header) []chivegauge.HeaderField {
-	fields := make([]chivegauge.HeaderField, 0, len(h))
-	for name, values := range h {
-		if chivegauge.InternalHeader(name) || chivegauge.HopByHopHeader(name) {
-			continue
-		}
-		for _, v := range values {
-			fields = append(fields, chivegauge.HeaderField{
-				Name:  name,
-				Value: v,
-			})
-		}
-	}
-	return fields
-}
