Refuse a request that can't be sent as a bad request

Cause: the client for the backend server refuses such a request before it connects, and that was taken for a backend server that can't be reached: retried at the others, counted against each.

Fix: a request for which no connection was asked for is refused with BadRequest, as not run, which is neither retried nor counted.

--- a/internal/request/executor/backend.go
+++ b/internal/request/executor/backend.go
@@ -59,8 +59,9 @@
 
 // Send sends the call to the backend server once.
 func (b *backend) Send(ctx context.Context, c chivegauge.Call, token string) (chivegauge.Response, *chivegauge.Refusal) {
-	sent := atomic.Bool{}
+	valid, sent := atomic.Bool{}, atomic.Bool{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { valid.Store(true) },
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
 	req, err := http.NewRequestWithContext(ctx, c.Method, b.url+c.Target, SingleUseBody(c.Body))
@@ -69,6 +70,9 @@
 	}
 	b.setHeaders(req, c, token)
 	res, err := b.client.Do(req)
+	if err != nil && !valid.Load() && ctx.Err() == nil {
+		return chivegauge.Response{}, chivegauge.Refuse(chivegauge.CodeBadRequest, "the request can't be sent: "+err.Error())
+	}
 	if err != nil {
 		return chivegauge.Response{}, failureRefusal(ctx, sent.Load())
 	}
--- a/internal/request/executor/executor_test.go
+++ b/internal/request/executor/executor_test.go
@@ -356,3 +356,30 @@
 		})
 	}
 }
+
+// TestInvalidRequest guards against a caller that makes all backend servers seem out of reach with a request that can't be
+// sent: it is refused as a bad request.
+func TestInvalidRequest(t *testing.T) {
+	tests := map[string]chivegauge.HeaderField{
+		"name that is no token": {Name: "X(", Value: "1"},
+		"empty name":            {Value: "1"},
+		"control character":     {Name: "X", Value: "a\x01b"},
+		"line break":            {Name: "X", Value: "a\r\nb"},
+	}
+	for name, field := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := executor.NewBackend("http://127.0.0.1:1", time.Now, 1, 1000) // nothing listens there
+			c := call(1)
+			c.Method = http.MethodGet
+			c.Target = "/"
+			c.Header = []chivegauge.HeaderField{field}
+			_, refusal := b.Send(t.Context(), c, "token")
+			is.Equal(refusal.Code, chivegauge.CodeBadRequest)
+			is.Equal(refusal.Run, chivegauge.NotRun)
+			c.Header = nil
+			_, refusal = b.Send(t.Context(), c, "token")
+			is.Equal(refusal.Code, chivegauge.CodeNoBackend)
+		})
+	}
+}
