Answer a request with an invalid target with 400

A caller whose request target can't be parsed got its connection closed without an answer, which says nothing and invites a retry.

Cause: the error of such a target is a net.Error, too, and was taken for a failure of the connection.

Evidence: the new case 'control in target' of TestRejectedRequests failed before with an unexpected EOF. The new cases of control characters in header fields passed already: they reach no backend server.

--- a/internal/stream/acceptor/acceptor_test.go
+++ b/internal/stream/acceptor/acceptor_test.go
@@ -190,10 +190,16 @@
 		input  string
 		status int
 	}{
-		"not HTTP":        {input: "nonsense\r\n\r\n", status: http.StatusBadRequest},
-		"large header":    {input: "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 9000) + "\r\n\r\n", status: http.StatusRequestHeaderFieldsTooLarge},
-		"large body":      {input: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000\r\n\r\n", status: http.StatusRequestEntityTooLarge},
-		"earlier version": {input: "GET / HTTP/1.0\r\nHost: a\r\n\r\n", status: http.StatusHTTPVersionNotSupported},
+		"not HTTP":          {input: "nonsense\r\n\r\n", status: http.StatusBadRequest},
+		"large header":      {input: "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 9000) + "\r\n\r\n", status: http.StatusRequestHeaderFieldsTooLarge},
+		"large body":        {input: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000\r\n\r\n", status: http.StatusRequestEntityTooLarge},
+		"control character": {input: "GET / HTTP/1.1\r\nHost: a\r\nX: a\x01b\r\n\r\n", status: http.StatusBadRequest},
+		"bare CR":           {input: "GET / HTTP/1.1\r\nHost: a\r\nX: a\rY: b\r\n\r\n", status: http.StatusBadRequest},
+		"NUL":               {input: "GET / HTTP/1.1\r\nHost: a\r\nX: a\x00\r\n\r\n", status: http.StatusBadRequest},
+		"bare CR in host":   {input: "GET / HTTP/1.1\r\nHost: a\rb\r\n\r\n", status: http.StatusBadRequest},
+		"bad name":          {input: "GET / HTTP/1.1\r\nHost: a\r\nX(: b\r\n\r\n", status: http.StatusBadRequest},
+		"control in target": {input: "GET /a\x01b HTTP/1.1\r\nHost: a\r\n\r\n", status: http.StatusBadRequest},
+		"earlier version":   {input: "GET / HTTP/1.0\r\nHost: a\r\n\r\n", status: http.StatusHTTPVersionNotSupported},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/stream/acceptor/conn.go
+++ b/internal/stream/acceptor/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
@@ -306,6 +307,10 @@
 
 // isConnError reports whether the connection failed or was closed, as opposed to sending an invalid request.
 func isConnError(err error) bool {
+	invalid := &url.Error{} // which is a net.Error, too
+	if errors.As(err, &invalid) {
+		return false
+	}
 	ne := net.Error(nil)
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &ne)
 }
