Read only the status line in the test of endless bodies

The linter asks for the body of a response to be closed, and closing it would read a body without end. The check is the same: status 200, and no more taken than the sockets hold.

--- a/internal/app/assembler/endless_test.go
+++ b/internal/app/assembler/endless_test.go
@@ -71,8 +71,8 @@
 					t.Cleanup(func() { _ = nc.Close() })
 					_, err = io.WriteString(nc, "GET "+path+" HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n\r\n")
 					is.NoErr(err)
-					res, err := http.ReadResponse(bufio.NewReader(nc), nil)
-					return err == nil && res.StatusCode == http.StatusOK
+					line, err := bufio.NewReader(nc).ReadString('\n')
+					return err == nil && strings.HasPrefix(line, "HTTP/1.1 200 ")
 				})
 				for last := int64(-1); sent.Load() != last; time.Sleep(200 * time.Millisecond) { // until nothing moves any more
 					last = sent.Load()
