--- a/internal/app/assembler/departure_test.go
+++ b/internal/app/assembler/departure_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 )
@@ -27,9 +26,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			s := &store{
-				records: map[string]registrar.Record{},
-			}
+			s := newStore()
 			group := &errgroup.Group{}
 			n := newRecordingNode(t, s, group, "booking")
 			other := newRecordingNode(t, s, group, "fragile")
@@ -80,9 +77,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := &store{
-				records: map[string]registrar.Record{},
-			}
+			s := newStore()
 			n := newRecordingNode(t, s, &errgroup.Group{}, "booking")
 			await(t, func() bool { return n.send(t, "1") == http.StatusOK })
 			if tt.leaving {
--- a/internal/app/assembler/endless_test.go
+++ b/internal/app/assembler/endless_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 )
@@ -31,38 +30,23 @@
 		for _, service := range []string{"booking", "fragile"} {
 			t.Run(name+", "+service, func(t *testing.T) {
 				is := is.New(t)
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				is.NoErr(err)
-				defer func() { _ = l.Close() }()
 				sent := atomic.Int64{}
 				group := &errgroup.Group{}
-				group.Go(func() error {
-					for {
-						nc, err := l.Accept()
-						if err != nil {
-							return nil
-						}
-						r, err := http.ReadRequest(bufio.NewReader(nc))
-						if err == nil {
-							_, err = io.WriteString(nc, "HTTP/1.1 200 OK\r\nAttempt-Id: "+r.Header.Get(headerNames().Attempt)+"\r\n"+framing)
-						}
-						fill := strings.Repeat("x", 1<<16)
-						for err == nil && sent.Load() < sentMax {
-							n := 0
-							n, err = io.WriteString(nc, fill)
-							sent.Add(int64(n))
-						}
-						_ = nc.Close()
+				backend := serveRequests(t, group, func(r *http.Request, nc net.Conn) {
+					_, err := io.WriteString(nc, "HTTP/1.1 200 OK\r\nAttempt-Id: "+r.Header.Get(headerNames().Attempt)+"\r\n"+framing)
+					fill := strings.Repeat("x", 1<<16)
+					for err == nil && sent.Load() < sentMax {
+						n := 0
+						n, err = io.WriteString(nc, fill)
+						sent.Add(int64(n))
 					}
 				})
-				s := &store{
-					records: map[string]registrar.Record{},
-				}
+				s := newStore()
 				path := "/read/x"
-				entry := newTestNodeBeside(t, s, group, l.Addr().String())
+				entry := newTestNodeBeside(t, s, group, backend)
 				if service == "fragile" {
 					path = "/fragile/x"
-					defer newTestNodeOf(t, s, group, service, l.Addr().String()).stop()
+					defer newTestNodeOf(t, s, group, service, backend).stop()
 				}
 				defer entry.stop()
 				await(t, func() bool { // the nodes may not know each other yet
--- a/internal/app/assembler/listed_test.go
+++ b/internal/app/assembler/listed_test.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"testing"
 
-	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 )
@@ -29,9 +28,7 @@
 		"a field of its own": {connection: []string{"X-Own, close"}},
 		"its framing":        {connection: []string{"Content-Length, Transfer-Encoding, Host, Connection"}, kept: true},
 	}
-	s := &store{
-		records: map[string]registrar.Record{},
-	}
+	s := newStore()
 	group := &errgroup.Group{}
 	nodes := map[string]*recordingNode{
 		"/read/x":    newRecordingNode(t, s, group, "booking"),
@@ -128,9 +125,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			group := &errgroup.Group{}
-			n := newTestNodeBeside(t, &store{
-				records: map[string]registrar.Record{},
-			}, group, serveText(t, group, http.StatusOK, names.Receipt+": proof\r\nX-Own: 1\r\nConnection: "+tt.connection+"\r\n"))
+			n := newTestNodeBeside(t, newStore(), group, serveText(t, group, http.StatusOK, names.Receipt+": proof\r\nX-Own: 1\r\nConnection: "+tt.connection+"\r\n"))
 			defer n.stop()
 			response, load := sendToPeer(t, n)
 			defer response.Release()
--- a/internal/app/assembler/marked_test.go
+++ b/internal/app/assembler/marked_test.go
@@ -52,31 +52,19 @@
 func TestCallerHeadersAreNoMessages(t *testing.T) {
 	is := is.New(t)
 	group := &errgroup.Group{}
-	n := newTestNode(t, &store{
-		records: map[string]registrar.Record{},
-	}, group)
+	n := newTestNode(t, newStore(), group)
 	defer n.stop()
-	peer, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = peer.Close() }()
 	heads := make(chan http.Header, 100)
-	group.Go(func() error {
-		for {
-			nc, err := peer.Accept()
-			if err != nil {
-				return nil
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(nc)); err == nil && strings.HasPrefix(r.RequestURI, "/fragile/") {
-				heads <- r.Header
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-			}
-			_ = nc.Close()
+	peer := serveRequests(t, group, func(r *http.Request, nc net.Conn) {
+		if strings.HasPrefix(r.RequestURI, "/fragile/") {
+			heads <- r.Header
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 		}
 	})
 	announce(t, n.address, registrar.Record{
 		Member: chivegauge.Member{
-			Address:     peer.Addr().String(),
+			Address:     peer,
 			Service:     "fragile",
 			Incarnation: chivegauge.FirstIncarnation(1),
 		},
@@ -109,9 +97,7 @@
 // earlier version forwards the headers that mark messages.
 func TestForwardedRequestsAreNoMessages(t *testing.T) {
 	is := is.New(t)
-	n := newTestNode(t, &store{
-		records: map[string]registrar.Record{},
-	}, &errgroup.Group{})
+	n := newTestNode(t, newStore(), &errgroup.Group{})
 	defer n.stop()
 	for _, mark := range messageMarks {
 		for _, body := range []string{"", "{}"} {
@@ -137,9 +123,7 @@
 // that isn't its encoding, is refused.
 func TestInvalidMessages(t *testing.T) {
 	is := is.New(t)
-	n := newTestNode(t, &store{
-		records: map[string]registrar.Record{},
-	}, &errgroup.Group{})
+	n := newTestNode(t, newStore(), &errgroup.Group{})
 	defer n.stop()
 	for _, mark := range messageMarks {
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
@@ -181,9 +165,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			group := &errgroup.Group{}
-			n := newTestNodeBeside(t, &store{
-				records: map[string]registrar.Record{},
-			}, group, serveText(t, group, tt.status, tt.fields))
+			n := newTestNodeBeside(t, newStore(), group, serveText(t, group, tt.status, tt.fields))
 			defer n.stop()
 			response, load := sendToPeer(t, n)
 			defer response.Release()
@@ -203,8 +185,9 @@
 	}
 }
 
-// serveText starts a backend server that answers each request with the status, the header fields and the body "ran".
-func serveText(t *testing.T, group *errgroup.Group, status int, fields string) string {
+// serveRequests passes the first request of each connection to serve, closes the connection after it, and returns the
+// address.
+func serveRequests(t *testing.T, group *errgroup.Group, serve func(r *http.Request, nc net.Conn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -215,7 +198,7 @@
 				return nil
 			}
 			if r, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
-				_, _ = io.WriteString(nc, "HTTP/1.1 "+strconv.Itoa(status)+" Text\r\nAttempt-Id: "+r.Header.Get(headerNames().Attempt)+"\r\n"+fields+"Content-Length: 3\r\n\r\nran")
+				serve(r, nc)
 			}
 			_ = nc.Close()
 		}
@@ -223,6 +206,13 @@
 	return l.Addr().String()
 }
 
+// serveText starts a backend server that answers each request with the status, the header fields and the body "ran".
+func serveText(t *testing.T, group *errgroup.Group, status int, fields string) string {
+	return serveRequests(t, group, func(r *http.Request, nc net.Conn) {
+		_, _ = io.WriteString(nc, "HTTP/1.1 "+strconv.Itoa(status)+" Text\r\nAttempt-Id: "+r.Header.Get(headerNames().Attempt)+"\r\n"+fields+"Content-Length: 3\r\n\r\nran")
+	})
+}
+
 // sendToPeer sends a request to the node as another node would.
 func sendToPeer(t *testing.T, n *testNode) (*streamer.Response, picker.Load) {
 	sender := transporter.New(transporter.Config{
--- a/internal/app/assembler/stop_test.go
+++ b/internal/app/assembler/stop_test.go
@@ -34,6 +34,12 @@
 	down    bool // records can't be read or written
 }
 
+func newStore() *store {
+	return &store{
+		records: map[string]registrar.Record{},
+	}
+}
+
 func (s *store) setDown(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
