Take no reset for the end of a response

What callers saw: a backend server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still written; the caller got that part as a whole response.

Cause: the kernel reports a reset once. A write of the request that got the report left io.EOF to the read of the body, and a body without a length or chunks ends with io.EOF.

A whole body behind which the backend server closed its side and then reset the connection was refused, since a failed upload ended the read.

Change: a connection to a backend server, a node or the store returns the error of its failed write instead of io.EOF. The read ends the writes and waits for them first, so that a report on its way is not missed; EPIPE says that the close came before the reset. In the streaming node, an upload that can't be written no longer ends the read: what has arrived counts by its own framing. The client of net/http, in chivegauge node, still gives up then, which is an honest refusal.

--- a/internal/base/storer/storer.go
+++ b/internal/base/storer/storer.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/chivegauge/chivegauge/internal/base/validator"
 	"github.com/go-faster/errors"
 )
 
@@ -57,11 +58,11 @@
 		timeout:   timeout,
 		watchWait: watchWait,
 		client: &http.Client{
-			Transport: &http.Transport{
+			Transport: validator.NewTransport(&http.Transport{
 				MaxIdleConnsPerHost:    4,
 				IdleConnTimeout:        time.Minute,
 				MaxResponseHeaderBytes: headMaxBytes,
-			},
+			}),
 		},
 	}
 }
--- a/internal/cluster/dialer/dialer.go
+++ b/internal/cluster/dialer/dialer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chivegauge/chivegauge/internal/base/validator"
 	"github.com/chivegauge/chivegauge/internal/cluster/messenger"
 )
 
@@ -49,7 +50,7 @@
 	}
 	d.client = &http.Client{
 		Transport: &boundedTransport{
-			RoundTripper: &http.Transport{
+			RoundTripper: validator.NewTransport(&http.Transport{
 				TLSClientConfig:        cfg,
 				DialContext:            d.dial,
 				MaxIdleConnsPerHost:    idlePerPeer,
@@ -57,7 +58,7 @@
 				IdleConnTimeout:        idleTimeout,
 				DisableCompression:     true,
 				MaxResponseHeaderBytes: headMaxBytes,
-			},
+			}),
 		},
 	}
 	return d
--- a/internal/request/executor/backend.go
+++ b/internal/request/executor/backend.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/base/validator"
 	"github.com/chivegauge/chivegauge/internal/request/concurrencylimiter"
 	"github.com/chivegauge/chivegauge/internal/telemetry/asserter"
 )
@@ -45,14 +46,14 @@
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
-			Transport: &http.Transport{
+			Transport: validator.NewTransport(&http.Transport{
 				MaxConnsPerHost:        connections,
 				MaxIdleConnsPerHost:    connections,
 				MaxIdleConns:           connections,
 				IdleConnTimeout:        idleConnTimeout,
 				DisableCompression:     true,
 				MaxResponseHeaderBytes: headMaxBytes,
-			},
+			}),
 		},
 	}
 }
--- a/internal/request/transporter/transporter.go
+++ b/internal/request/transporter/transporter.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/base/validator"
 	"github.com/chivegauge/chivegauge/internal/policy/picker"
 	"github.com/chivegauge/chivegauge/internal/request/concurrencylimiter"
 	"github.com/chivegauge/chivegauge/internal/request/executor"
@@ -99,14 +100,14 @@
 // newClient returns an HTTP client; without keepAlive each request opens a new connection.
 func newClient(cfg *tls.Config, keepAlive bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: validator.NewTransport(&http.Transport{
 			TLSClientConfig:        cfg,
 			MaxIdleConnsPerHost:    idleConnsPerPeer,
 			IdleConnTimeout:        idleConnTimeout,
 			DisableCompression:     true,
 			DisableKeepAlives:      !keepAlive,
 			MaxResponseHeaderBytes: headMaxBytes,
-		},
+		}),
 	}
 }
 
--- a/internal/stream/connector/conn.go
+++ b/internal/stream/connector/conn.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/chivegauge/chivegauge/internal/base/validator"
 	"github.com/chivegauge/chivegauge/internal/stream/encoder"
 	"github.com/chivegauge/chivegauge/internal/stream/streamer"
 	"github.com/go-faster/errors"
@@ -53,16 +54,17 @@
 }
 
 func newConn(c *connector, nc net.Conn) *conn {
+	validated := validator.NewConn(nc)
 	limited := &io.LimitedReader{
-		R: nc,
+		R: validated,
 		N: unlimitedBytes,
 	}
 	k := &conn{
 		owner:       c,
-		nc:          nc,
+		nc:          validated,
 		limited:     limited,
 		br:          bufio.NewReaderSize(limited, readBufferBytes),
-		bw:          bufio.NewWriterSize(nc, writeBufferBytes),
+		bw:          bufio.NewWriterSize(validated, writeBufferBytes),
 		idleTimeout: c.cfg.IdleTimeout,
 	}
 	if sc, ok := nc.(syscall.Conn); ok {
@@ -116,7 +118,8 @@
 	return k.bufferBody(response, b)
 }
 
-// writeRequest writes the request; a streamed body is written in the background while the response is read.
+// writeRequest writes the request; a streamed body is written in the background while the response is read. If that body
+// can't be read, the exchange ends; if it can't be written, what has arrived of the response is still read.
 func (k *conn) writeRequest(r *streamer.Request) *upload {
 	r.Rewind()
 	u := &upload{
@@ -129,7 +132,7 @@
 	u.group.Go(func() {
 		defer close(u.done)
 		u.err = encoder.WriteBody(k.bw, r.Body, r.Length)
-		if u.err != nil {
+		if unread := (&encoder.BodyReadError{}); errors.As(u.err, &unread) {
 			_ = k.nc.SetDeadline(expiredDeadline)
 		}
 	})
--- a/internal/stream/encoder/encoder.go
+++ b/internal/stream/encoder/encoder.go
@@ -74,7 +74,9 @@
 		return err
 	}
 	if n < length {
-		return errors.Wrap(io.ErrUnexpectedEOF, "body is shorter than stated")
+		return &BodyReadError{
+			Cause: errors.Wrap(io.ErrUnexpectedEOF, "body is shorter than stated"),
+		}
 	}
 	return nil
 }
