Refuse responses with a blank in the name of a field

What callers saw: a backend server in trouble sent a response in whose head the name of a field held a blank or a control byte; the caller got it with that line passed on, or with a body that was not the backend server's.

Cause: the reader of net/http accepts blanks in names and keeps them there. "Content-Length : 5" and "Transfer-Encoding : chunked" are then no framing: the body was all up to the close, with the sizes of its chunks.

Change: heads of final and interim responses and trailers are checked behind net/http's reader, in the streaming node by its connector and elsewhere by a transport that records what its connection reads up to the head, as a client sees no interim responses. RFC 9112, 5.1 lets a proxy remove a blank before the colon; a response without its framing is refused instead, as one that may have run.

--- a/internal/base/validator/conn.go
+++ b/internal/base/validator/conn.go
@@ -1,10 +1,8 @@
 package validator
 
 import (
-	"context"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -30,22 +28,6 @@
 	}
 }
 
-// NewTransport returns the transport with connections that tell a reset from a close while a request is written.
-func NewTransport(t *http.Transport) http.RoundTripper {
-	dial := t.DialContext
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
-	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		nc, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return NewConn(nc), nil
-	}
-	return t
-}
-
 // Write writes to the connection and keeps the first error.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/base/validator/head.go
@@ -0,0 +1,41 @@
+package validator
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// ReadHead reads the head of a response to a request with the method, and returns an error if it is not valid.
+func ReadHead(br *bufio.Reader, method string) (*http.Response, error) {
+	res, err := http.ReadResponse(br, &http.Request{
+		Method: method,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return res, checkHead(res)
+}
+
+// checkHead returns an error if the head, which a reader of net/http has accepted, is not valid.
+func checkHead(res *http.Response) error {
+	return checkNames(res.Header)
+}
+
+// CheckTrailer returns an error if the trailer of a response that was read to its end is not valid.
+func CheckTrailer(res *http.Response) error {
+	return checkNames(res.Trailer)
+}
+
+// checkNames returns an error if a name holds a blank, the only byte outside of tokens that the readers of net/http accept.
+// They take no such field for what its name without the blank says, as others may.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if strings.Contains(name, " ") {
+			return errors.Errorf("field name %q holds a blank", name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/base/validator/transport.go
@@ -0,0 +1,104 @@
+package validator
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+)
+
+// transport is an http.Transport that returns no response which breaks off or is not valid.
+type transport struct {
+	*http.Transport
+}
+
+// NewTransport returns t with connections that tell a reset from a close, and with a check of each response. The heads of
+// interim responses are not checked over TLS.
+func NewTransport(t *http.Transport) http.RoundTripper {
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &recorder{
+			Conn: NewConn(nc),
+		}, nil
+	}
+	return &transport{
+		Transport: t,
+	}
+}
+
+// RoundTrip sends the request and returns the response, or an error if its head is not valid; reading its body fails if
+// its trailer is not.
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	used := atomic.Pointer[recorder]{}
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*recorder); ok {
+				c.start()
+				used.Store(c)
+			}
+		},
+	})
+	res, err := t.Transport.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	c := used.Load()
+	if c == nil {
+		err = checkHead(res)
+	} else {
+		err = checkHeads(c.stop(), r.Method)
+	}
+	if err != nil {
+		if c != nil {
+			_ = c.Close()
+		}
+		_ = res.Body.Close()
+		return nil, errors.Wrap(err, "read response")
+	}
+	res.Body = &checkedBody{
+		ReadCloser: res.Body,
+		response:   res,
+	}
+	return res, nil
+}
+
+// checkHeads returns an error if one of the heads, up to that of the final response, is not valid.
+func checkHeads(heads []byte, method string) error {
+	br := bufio.NewReader(bytes.NewReader(heads))
+	for {
+		res, err := ReadHead(br, method) //nolint:bodyclose // the body is not read
+		if err != nil || res.StatusCode >= http.StatusOK {
+			return err
+		}
+	}
+}
+
+// checkedBody is the body of a response; its end is an error if the trailer is not valid.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read reads from the body.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if err := CheckTrailer(b.response); err != nil {
+			return n, err
+		}
+	}
+	return n, err
+}
--- a/internal/request/executor/early_test.go
+++ b/internal/request/executor/early_test.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -17,16 +15,10 @@
 
 // sendRaw sends a call with the body to a backend server that sends the response.
 func sendRaw(t *testing.T, res rawserver.Response, body []byte) (chivegauge.Response, *chivegauge.Refusal) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := rawserver.Start(func(*http.Request) rawserver.Response { return res.WithFields("") })
 	is.New(t).NoErr(err)
-	group := sync.WaitGroup{}
-	group.Go(func() {
-		rawserver.Serve(l, func(*http.Request) rawserver.Response { return res.WithFields("") })
-	})
-	b := executor.NewBackend("http://"+l.Addr().String(), time.Now, 1, 1<<20)
-	defer group.Wait()
-	defer b.Up() // closes the idle connections
-	defer func() { _ = l.Close() }()
+	defer s.Close()
+	b := executor.NewBackend("http://"+s.Address, time.Now, 1, 1<<20)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	c := call(1)
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // End is how the server ends a connection after a response.
@@ -46,26 +48,79 @@
 	Broken bool
 }
 
+// OK reports whether the response is one of status 200 with a body.
+func (r Response) OK() bool {
+	return strings.Contains(r.Text, " 200") && r.Body != ""
+}
+
 // WithFields returns the response with the header fields that the client expects.
 func (r Response) WithFields(fields string) Response {
 	r.Text = strings.Replace(r.Text, "@", fields, 1)
 	return r
 }
 
-// Serve accepts connections until the listener is closed, and then waits until the clients have closed theirs.
-func Serve(l net.Listener, respond func(r *http.Request) Response) {
-	group := sync.WaitGroup{}
-	defer group.Wait()
+// WithBody returns the response with another body of five bytes.
+func (r Response) WithBody(body string) Response {
+	r.Text = strings.ReplaceAll(r.Text, "whole", body)
+	if r.Body != "" {
+		r.Body = body
+	}
+	return r
+}
+
+// Server is a running server.
+type Server struct {
+	// Address is the address of the server, as host:port.
+	Address string
+
+	listener net.Listener
+	respond  func(r *http.Request) Response
+	group    sync.WaitGroup
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// Start starts a server on a free port of the loopback interface.
+func Start(respond func(r *http.Request) Response) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s := &Server{
+		Address:  l.Addr().String(),
+		listener: l,
+		respond:  respond,
+	}
+	s.group.Go(s.accept)
+	return s, nil
+}
+
+// Close closes the server with its connections.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	for _, nc := range s.conns {
+		_ = nc.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+}
+
+func (s *Server) accept() {
 	for {
-		nc, err := l.Accept()
+		nc, err := s.listener.Accept()
 		if err != nil {
 			return
 		}
-		group.Go(func() {
+		s.mu.Lock()
+		s.conns = append(s.conns, nc)
+		s.mu.Unlock()
+		s.group.Go(func() {
 			defer func() { _ = nc.Close() }()
 			_ = nc.SetDeadline(time.Now().Add(connTimeout))
 			br := bufio.NewReader(nc)
-			for serveRequest(nc.(*net.TCPConn), br, respond) {
+			for serveRequest(nc.(*net.TCPConn), br, s.respond) {
 			}
 		})
 	}
--- a/internal/stream/connector/conn.go
+++ b/internal/stream/connector/conn.go
@@ -201,9 +201,7 @@
 func (k *conn) readHead(r *streamer.Request) (*http.Response, error) {
 	k.limited.N = headMaxBytes
 	defer func() { k.limited.N = unlimitedBytes }()
-	return http.ReadResponse(k.br, &http.Request{
-		Method: r.Method,
-	})
+	return validator.ReadHead(k.br, r.Method)
 }
 
 // bufferBody reads the body into memory up to the configured number of bytes; a response that ends within them is known
@@ -261,13 +259,17 @@
 		return b.buffered.Read(p)
 	}
 	n, err := b.res.Body.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.atEOF = true
-		return n, io.EOF
+	atEOF := errors.Is(err, io.EOF)
+	if atEOF {
+		err = validator.CheckTrailer(b.res)
 	}
 	if err != nil {
 		return n, errors.Wrap(err, "read answer")
 	}
+	if atEOF {
+		b.atEOF = true
+		return n, io.EOF
+	}
 	return n, nil
 }
 
--- a/internal/stream/connector/early_test.go
+++ b/internal/stream/connector/early_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/chivegauge/chivegauge/internal/standin/rawserver"
@@ -19,20 +17,13 @@
 
 // startRaw starts a backend server that sends the response to each request.
 func startRaw(t testing.TB, res rawserver.Response) *backend {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	group := sync.WaitGroup{}
-	group.Go(func() {
-		rawserver.Serve(l, func(r *http.Request) rawserver.Response {
-			return res.WithFields(attempt + ": " + r.Header.Get(attempt) + "\r\n")
-		})
-	})
-	t.Cleanup(func() {
-		_ = l.Close()
-		group.Wait()
+	s, err := rawserver.Start(func(r *http.Request) rawserver.Response {
+		return res.WithFields(attempt + ": " + r.Header.Get(attempt) + "\r\n")
 	})
+	is.New(t).NoErr(err)
+	t.Cleanup(s.Close)
 	return &backend{
-		address: l.Addr().String(),
+		address: s.Address,
 	}
 }
 
