Refuse responses whose status is none

What callers saw: a backend server in trouble sent a response whose status was 000; on other systems callers got it. Here, too: chivegauge node passed it on, and the streaming node took it for an interim response and passed on what came behind it.

Cause: net/http reads any three bytes that are a number as the status, with a sign or below 100; everything below 200 was taken for interim. Statuses from 600 on are none either (RFC 9110, 15) and were passed on.

The clients of both stores and of control messages refused all. A status that a node of chivegauge node passes on in its own header was checked nowhere: TestInvalidStatusOfPeer failed for 000, 99, 101, 600, -200.

--- a/internal/request/transporter/valid_test.go
+++ b/internal/request/transporter/valid_test.go
@@ -57,3 +57,14 @@
 		})
 	}
 }
+
+// TestInvalidStatusOfPeer guards against a node that passes on a status which is none.
+func TestInvalidStatusOfPeer(t *testing.T) {
+	tests := map[string]bool{"000": false, "99": false, "101": false, "200": true, "503": true, "599": true, "600": false, "-200": false, "": false}
+	for status, valid := range tests {
+		t.Run(status, func(t *testing.T) {
+			response := sendRaw(t, rawserver.Responses()["length"], "Chivegauge-Status: "+status+"\r\nChivegauge-Fields: null\r\n")
+			is.New(t).Equal(response.Refusal == nil, valid)
+		})
+	}
+}
--- a/internal/request/transporter/wire.go
+++ b/internal/request/transporter/wire.go
@@ -135,6 +135,9 @@
 	if err != nil {
 		return response, errors.Wrap(err, "parse response status")
 	}
+	if status < http.StatusOK || status > statusMax {
+		return response, errors.Errorf("invalid response status %d", status)
+	}
 	response.Status = status
 	if response.Tokens, err = strconv.Atoi(h.Get(chivegauge.HeaderTokens)); err != nil {
 		return response, errors.Wrap(err, "read tokens")
@@ -195,4 +198,9 @@
 	return strconv.ParseUint(s, hexBase, 64)
 }
 
-const hexBase = 16
+const (
+	hexBase = 16
+
+	// statusMax is the highest status that a response may have.
+	statusMax = 599
+)
--- a/internal/standin/rawserver/responses.go
+++ b/internal/standin/rawserver/responses.go
@@ -7,7 +7,7 @@
 // Responses are broken and valid responses, by name.
 func Responses() map[string]Response {
 	all := validResponses()
-	for _, broken := range []map[string]string{brokenNames(), brokenValues(), brokenFraming()} {
+	for _, broken := range []map[string]string{brokenStatuses(), brokenNames(), brokenValues(), brokenFraming()} {
 		for name, text := range broken {
 			all["broken "+name] = Response{Text: text, Broken: true}
 		}
@@ -60,6 +60,16 @@
 	return all
 }
 
+// brokenStatuses are responses whose status is none.
+func brokenStatuses() map[string]string {
+	texts := map[string]string{}
+	for _, status := range []string{"", "000", "001", "099", "600", "700", "999", "+20", "-20", "-00", "20", "2000", "2x0", "0200", "OK"} {
+		texts["status "+status] = "HTTP/1.1 " + status + " OK\r\n@" + wholeBody
+		texts["status "+status+" at first"] = "HTTP/1.1 " + status + " OK\r\n\r\n" + valid
+	}
+	return texts
+}
+
 // brokenNames are responses with a byte in the name of a field that no name may hold.
 func brokenNames() map[string]string {
 	texts := map[string]string{
