Refuse responses of other major versions of HTTP

What callers saw: a response with the status line "HTTP/2.0 200 OK", or of HTTP/0.9 or 3.1, was passed on as one of HTTP/1.1, as was what came behind such an interim response.

Cause: net/http's reader accepts any two digits as a version. Only of its own major version does a recipient know the framing (RFC 9112, 2.3).

Versions that can't be parsed were refused already.

Change: the major version is 1; HTTP/1.0 and 1.2 are still served.

--- a/internal/app/assembler/early_test.go
+++ b/internal/app/assembler/early_test.go
@@ -19,8 +19,9 @@
 // address.
 func startRaw(t *testing.T, responses map[string]rawserver.Response) string {
 	s, err := rawserver.Start(func(r *http.Request) rawserver.Response {
-		res, ok := responses[path.Base(r.URL.Path)]
-		if !ok { // a message between nodes
+		name, err := url.PathUnescape(path.Base(r.URL.EscapedPath()))
+		res, ok := responses[name]
+		if err != nil || !ok { // a message between nodes
 			res.End = rawserver.Reset
 		}
 		return res.WithFields(headerNames().Attempt + ": " + r.Header.Get(headerNames().Attempt) + "\r\n")
--- a/internal/base/validator/head.go
+++ b/internal/base/validator/head.go
@@ -21,6 +21,9 @@
 
 // checkHead returns an error if the head, which a reader of net/http has accepted, is not valid.
 func checkHead(res *http.Response) error {
+	if res.ProtoMajor != 1 {
+		return errors.Errorf("unsupported version %q", res.Proto)
+	}
 	// net/http has read three bytes as a number, which may have a sign.
 	if res.Status[0] < '1' || res.Status[0] > '5' {
 		return errors.Errorf("invalid status %q", res.Status)
--- a/internal/standin/rawserver/responses.go
+++ b/internal/standin/rawserver/responses.go
@@ -7,7 +7,7 @@
 // Responses are broken and valid responses, by name.
 func Responses() map[string]Response {
 	all := validResponses()
-	for _, broken := range []map[string]string{brokenStatuses(), brokenNames(), brokenValues(), brokenFraming()} {
+	for _, broken := range []map[string]string{brokenVersions(), brokenStatuses(), brokenNames(), brokenValues(), brokenFraming()} {
 		for name, text := range broken {
 			all["broken "+name] = Response{Text: text, Broken: true}
 		}
@@ -46,6 +46,7 @@
 		"interim with fields":      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + valid,
 		"several interim":          "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 \r\nX: 1\r\n\r\n" + valid,
 		"version 1.0":              "HTTP/1.0 200 OK\r\n@" + wholeBody,
+		"version 1.2":              "HTTP/1.2 200 OK\r\n@" + wholeBody,
 		"version 1.0, kept open":   "HTTP/1.0 200 OK\r\n@Connection: Keep-Alive\r\n" + wholeBody,
 	}
 	all := map[string]Response{
@@ -60,6 +61,16 @@
 	return all
 }
 
+// brokenVersions are responses of no version of HTTP that a client of HTTP/1.1 can read.
+func brokenVersions() map[string]string {
+	texts := map[string]string{}
+	for _, version := range []string{"HTTP/0.0", "HTTP/0.9", "HTTP/2.0", "HTTP/3.1", "HTTP/9.9", "HTTP/1", "HTTP/1.", "HTTP/1.10", "HTTP/01.1", "http/1.1", "HTTP/1,1", "HTTP 1.1", "ICY"} {
+		texts["version "+version] = version + " 200 OK\r\n@" + wholeBody
+		texts["version "+version+" of an interim"] = version + " 102 Processing\r\n\r\n" + valid
+	}
+	return texts
+}
+
 // brokenStatuses are responses whose status is none.
 func brokenStatuses() map[string]string {
 	texts := map[string]string{}
