Refuse switches of protocols that were not requested

What callers saw: a backend server answered with 101; the caller of a streaming node got the bytes behind it as the response if they looked like one, that of chivegauge node the status 101 itself.

Cause: the streaming node took 101 for one more interim response, and the client of net/http returns it as a final one. Behind it the connection speaks no HTTP (RFC 9110, 15.2.2), and no node passes Upgrade on.

Evidence: "switch of protocols ahead of another" failed at the connector, beside chivegauge node, and at callers of streaming nodes on all three ways. A 101 alone and interim responses with a body were refused already.

Change: 101 is no valid head. Broken responses of the table now close their connection, so that one which has no other end doesn't hang.

--- a/internal/base/validator/head.go
+++ b/internal/base/validator/head.go
@@ -28,6 +28,10 @@
 	if res.Status[0] < '1' || res.Status[0] > '5' {
 		return errors.Errorf("invalid status %q", res.Status)
 	}
+	// No node forwards the Upgrade field of a request.
+	if res.StatusCode == http.StatusSwitchingProtocols {
+		return errors.New("switch of protocols that was not requested")
+	}
 	return checkNames(res.Header)
 }
 
--- a/internal/standin/rawserver/responses.go
+++ b/internal/standin/rawserver/responses.go
@@ -7,9 +7,9 @@
 // Responses are broken and valid responses, by name.
 func Responses() map[string]Response {
 	all := validResponses()
-	for _, broken := range []map[string]string{brokenVersions(), brokenStatuses(), brokenNames(), brokenValues(), brokenFraming()} {
+	for _, broken := range []map[string]string{brokenVersions(), brokenStatuses(), brokenInterim(), brokenNames(), brokenValues(), brokenFraming()} {
 		for name, text := range broken {
-			all["broken "+name] = Response{Text: text, Broken: true}
+			all["broken "+name] = Response{Text: text, End: HalfClose, Broken: true}
 		}
 	}
 	return all
@@ -81,6 +81,16 @@
 	return texts
 }
 
+// brokenInterim are interim responses that end the use of HTTP, or that hold a body.
+func brokenInterim() map[string]string {
+	return map[string]string{
+		"switch of protocols":                  "HTTP/1.1 101 Switching Protocols\r\n@Connection: Upgrade\r\nUpgrade: other\r\n\r\nwhole",
+		"switch of protocols ahead of another": "HTTP/1.1 101 Switching Protocols\r\n\r\n" + valid,
+		"interim with a body":                  "HTTP/1.1 103 Early Hints\r\n" + wholeBody + "\r\n" + valid,
+		"interim alone":                        "HTTP/1.1 103 Early Hints\r\n@\r\n",
+	}
+}
+
 // brokenNames are responses with a byte in the name of a field that no name may hold.
 func brokenNames() map[string]string {
 	texts := map[string]string{
