Refuse transfer encodings in responses of HTTP/1.0

What callers saw: a response of HTTP/1.0 with Transfer-Encoding: chunked was passed on with the sizes of its chunks in the body, or, with a length beside it, cut to that length.

Cause: net/http's reader drops Transfer-Encoding from a message of HTTP/1.0 and goes on with the length or up to the close. The framing of such a message is faulty, with a length, too (RFC 9112, 6.1).

Change: the head of such a response is read as one of HTTP/1.1, so that the encoding is seen, and refused with it. TestReuseByVersion holds that connections of HTTP/1.0 are used again as before.

--- a/internal/base/validator/head.go
+++ b/internal/base/validator/head.go
@@ -2,23 +2,61 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"strings"
 
 	"github.com/go-faster/errors"
 )
 
+const (
+	version10    = "HTTP/1.0"
+	minorVersion = len(version10) - 1 // the position of the minor version
+)
+
 // ReadHead reads the head of a response to a request with the method, and returns an error if it is not valid.
 func ReadHead(br *bufio.Reader, method string) (*http.Response, error) {
+	version, err := br.Peek(len(version10))
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	// net/http drops the Transfer-Encoding of a response of HTTP/1.0, whose framing is faulty then, so such a response is
+	// read as one of HTTP/1.1.
+	old := string(version) == version10
+	if old {
+		version[minorVersion] = '1'
+	}
 	res, err := http.ReadResponse(br, &http.Request{
 		Method: method,
 	})
 	if err != nil {
 		return nil, err
 	}
+	if old && res.TransferEncoding != nil {
+		return nil, errors.New("transfer encoding in a response of HTTP/1.0")
+	}
+	if old {
+		res.Proto, res.ProtoMinor = version10, 0
+		res.Close = res.Close || !keepsAlive(res.Header)
+	}
 	return res, checkHead(res)
 }
 
+// keepsAlive reports whether the header says that the connection of a response of HTTP/1.0 stays open.
+func keepsAlive(h http.Header) bool {
+	for _, v := range h["Connection"] {
+		for option := range strings.SplitSeq(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(option), "keep-alive") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // checkHead returns an error if the head, which a reader of net/http has accepted, is not valid.
 func checkHead(res *http.Response) error {
 	if res.ProtoMajor != 1 {
--- a/internal/standin/rawserver/responses.go
+++ b/internal/standin/rawserver/responses.go
@@ -129,6 +129,10 @@
 // brokenFraming are responses whose end is not known.
 func brokenFraming() map[string]string {
 	texts := map[string]string{
+		"encoding of version 1.0":                   "HTTP/1.0 200 OK\r\n@" + wholeChunks,
+		"encoding and length of version 1.0":        "HTTP/1.0 200 OK\r\n@Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nwhole",
+		"no encoding of version 1.0":                "HTTP/1.0 200 OK\r\n@Transfer-Encoding:\r\n" + wholeBody,
+		"encoding of version 1.0 behind an interim": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\n@" + wholeChunks,
 		"lengths":                    statusLine + "@Content-Length: 5\r\nContent-Length: 6\r\n\r\nwhole",
 		"encodings":                  statusLine + "@Transfer-Encoding: chunked\r\n" + wholeChunks,
 		"chunk without its end":      statusLine + "@Transfer-Encoding: chunked\r\n\r\n5\r\nwhole0\r\n\r\n",
--- a/internal/stream/connector/valid_test.go
+++ b/internal/stream/connector/valid_test.go
@@ -32,3 +32,20 @@
 		})
 	}
 }
+
+// TestReuseByVersion checks which connections are used again behind a whole response: by default those of HTTP/1.1 and
+// later.
+func TestReuseByVersion(t *testing.T) {
+	for name, dials := range map[string]uint64{"length": 1, "version 1.2": 1, "version 1.0": 2, "version 1.0, kept open": 1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := connect(t, startRaw(t, rawserver.Responses()[name]))
+			for range 2 {
+				response, err := c.Exchange(context.Background(), brokenRequest())
+				is.NoErr(err)
+				response.Release()
+			}
+			is.Equal(c.Dials(), dials)
+		})
+	}
+}
