Refuse responses with a control byte in their reason

What callers saw: a response whose status line held a NUL, a bare CR or another control byte was passed on as a valid one.

Cause: net/http's reader checks names and values of fields, not the reason (RFC 9112, 4; for a bare CR, 2.2).

Change: the reason holds no control bytes but tabs; other bytes, or none at all, pass as before.

--- a/internal/base/validator/head.go
+++ b/internal/base/validator/head.go
@@ -66,6 +66,9 @@
 	if res.Status[0] < '1' || res.Status[0] > '5' {
 		return errors.Errorf("invalid status %q", res.Status)
 	}
+	if strings.ContainsFunc(res.Status, isControl) {
+		return errors.Errorf("control byte in the status line %q", res.Status)
+	}
 	// No node forwards the Upgrade field of a request.
 	if res.StatusCode == http.StatusSwitchingProtocols {
 		return errors.New("switch of protocols that was not requested")
@@ -73,6 +76,11 @@
 	return checkNames(res.Header)
 }
 
+// isControl reports whether a reason may not hold the character.
+func isControl(r rune) bool {
+	return r < ' ' && r != '\t' || r == '\x7f'
+}
+
 // CheckTrailer returns an error if the trailer of a response that was read to its end is not valid.
 func CheckTrailer(res *http.Response) error {
 	return checkNames(res.Trailer)
--- a/internal/standin/rawserver/responses.go
+++ b/internal/standin/rawserver/responses.go
@@ -22,6 +22,9 @@
 	valid       = statusLine + "@" + wholeBody
 )
 
+// controlBytes are bytes that neither a value nor a reason may hold.
+var controlBytes = []byte("\x00\x01\x07\x08\x0b\x0c\r\x1b\x1f\x7f")
+
 func validResponses() map[string]Response {
 	texts := map[string]string{
 		"length":                   valid,
@@ -71,13 +74,17 @@
 	return texts
 }
 
-// brokenStatuses are responses whose status is none.
+// brokenStatuses are responses whose status is none, or whose reason holds a byte that it may not.
 func brokenStatuses() map[string]string {
 	texts := map[string]string{}
 	for _, status := range []string{"", "000", "001", "099", "600", "700", "999", "+20", "-20", "-00", "20", "2000", "2x0", "0200", "OK"} {
 		texts["status "+status] = "HTTP/1.1 " + status + " OK\r\n@" + wholeBody
 		texts["status "+status+" at first"] = "HTTP/1.1 " + status + " OK\r\n\r\n" + valid
 	}
+	for _, b := range controlBytes {
+		texts[fmt.Sprintf("byte %#02x in the reason", b)] = "HTTP/1.1 200 O" + string([]byte{b}) + "K\r\n@" + wholeBody
+		texts[fmt.Sprintf("byte %#02x in the reason of an interim", b)] = "HTTP/1.1 102 O" + string([]byte{b}) + "K\r\n\r\n" + valid
+	}
 	return texts
 }
 
@@ -116,7 +123,7 @@
 // brokenValues are responses with a byte in the value of a field that no value may hold.
 func brokenValues() map[string]string {
 	texts := map[string]string{}
-	for _, b := range []byte("\x00\x01\x07\x08\x0b\x0c\r\x1b\x1f\x7f") {
+	for _, b := range controlBytes {
 		name := fmt.Sprintf("byte %#02x ", b)
 		texts[name+"in a value"] = statusLine + "@X: 1" + string([]byte{b}) + "2\r\n" + wholeBody
 		texts[name+"in a length"] = statusLine + "@Content-Length: 5" + string([]byte{b}) + "\r\n\r\nwhole"
