Refuse a response of a node that is longer than accepted

What callers saw: at chivegauge node, of a response that came over a hop and was longer than the limit of the node which the caller had asked, the start as the whole response. It takes two nodes with different BodyMaxBytes, as while a new limit is rolled out.

Cause: the client between nodes read up to one byte more than the limit and did not look at the length; the one to the backend server does.

Evidence: TestLongResponseOfPeer failed in both cases above the limit: a body of 1001 bytes was taken for one of 1001, and for one of 10000.

Change: the caller gets the refusal that it gets beside the backend server: too large, may have run.

--- a/internal/request/transporter/transporter.go
+++ b/internal/request/transporter/transporter.go
@@ -289,6 +289,12 @@
 			running: true,
 		}
 	}
+	if int64(len(body)) > t.maxBody {
+		refusal := chivegauge.RefuseMayHaveRun(chivegauge.CodeTooLarge, "the answer of the node is too large")
+		return result{
+			response: chivegauge.RefusalResponse(attemptID, refusal, 0),
+		}
+	}
 	response, err := decodeResponse(res.Header, body)
 	if err != nil {
 		return result{
--- a/internal/request/transporter/valid_test.go
+++ b/internal/request/transporter/valid_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,3 +70,26 @@
 		})
 	}
 }
+
+// TestLongResponseOfPeer guards against the start of a body that is longer than this node accepts, which the other one may
+// accept, and is taken for the whole body.
+func TestLongResponseOfPeer(t *testing.T) {
+	for name, length := range map[string]int{"fits": bodyMaxBytes, "too long": bodyMaxBytes + 1, "much too long": 10 * bodyMaxBytes} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			body := strings.Repeat("x", length)
+			response := sendRaw(t, rawserver.Response{
+				Text: "HTTP/1.1 200 OK\r\n@Content-Length: " + strconv.Itoa(length) + "\r\n\r\n" + body,
+			}, "Chivegauge-Status: 200\r\nChivegauge-Fields: null\r\n")
+			if length <= bodyMaxBytes {
+				is.Equal(response.Refusal, nil)
+				is.Equal(string(response.Body), body)
+				return
+			}
+			if response.Refusal == nil {
+				t.Fatalf("taken for a response with a body of %d bytes", len(response.Body))
+			}
+			is.Equal(response.Refusal.Run, chivegauge.MayHaveRun)
+		})
+	}
+}
