--- a/internal/standin/rawserver/responses.go
+++ b/internal/standin/rawserver/responses.go
@@ -103,6 +103,7 @@
 	texts := map[string]string{
 		"no name":            statusLine + "@: 1\r\n" + wholeBody,
 		"no colon":           statusLine + "@X\r\n" + wholeBody,
+		"trailer announced":  statusLine + "@Trailer: X Y\r\n" + wholeChunks,
 		"blank at the start": statusLine + " X: 1\r\n@" + wholeBody,
 	}
 	for _, b := range []byte("\x00\x01\x07\x08\t\x0b\x0c\r\x1b\x1f \"(),/;<=>?@[\\]{}\x7f\x80\xff") {
--- a/internal/stream/connector/broken_test.go
+++ b/internal/stream/connector/broken_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/chivegauge/chivegauge/internal/standin/rawserver"
 	"github.com/chivegauge/chivegauge/internal/stream/streamer"
 	"github.com/matryer/is"
 )
@@ -120,8 +121,11 @@
 }
 
 // FuzzResponse checks that a response is taken for a whole one only if the bytes of the backend server, up to the end of
-// the connection, hold a head and the body that it states.
+// the connection, hold a valid head and the body that it states.
 func FuzzResponse(f *testing.F) {
+	for _, res := range rawserver.Responses() {
+		f.Add([]byte(res.WithFields("Attempt: 1\r\n").Text))
+	}
 	for _, whole := range wholeResponses {
 		f.Add([]byte(whole))
 		f.Add([]byte(whole[:len(whole)-1]))
@@ -147,6 +151,14 @@
 		if !bytes.Contains(text, []byte("\n\r\n")) && !bytes.Contains(text, []byte("\n\n")) {
 			t.Errorf("%q has no whole head", text)
 		}
+		if response.Status < http.StatusOK || response.Status > 599 {
+			t.Errorf("%q is taken for status %d", text, response.Status)
+		}
+		for name := range response.Header {
+			if strings.ContainsAny(name, " \t\r\n\x00") {
+				t.Errorf("%q is taken for a response with a field %q", text, name)
+			}
+		}
 		if response.Length > 0 && int64(len(body)) != response.Length {
 			t.Errorf("%q: body of %d bytes, %d are stated", text, len(body), response.Length)
 		}
