--- a/internal/base/validator/transport.go
+++ b/internal/base/validator/transport.go
@@ -18,8 +18,8 @@
 	*http.Transport
 }
 
-// NewTransport returns t with connections that tell a reset from a close, and with a check of each response. The heads of
-// interim responses are not checked over TLS.
+// NewTransport returns t with connections that tell a reset from a close, and with a check of each response. Over TLS, where
+// nothing is recorded, only the head that t returns is checked.
 func NewTransport(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
 	if dial == nil {
