Keep the recordings of two requests on a connection apart

Cause: the client of net/http hands a connection on before it returns a response without a body. The next request then began to record on the same connection, and the one before took its recording.

Change: each request has a recording of its own, which the next one ends.

--- a/internal/base/validator/conn.go
+++ b/internal/base/validator/conn.go
@@ -49,7 +49,7 @@
 		return n, err
 	}
 	// A write that has got the report of a reset may not have returned yet.
-	_ = c.Conn.SetWriteDeadline(expiredDeadline)
+	_ = c.SetWriteDeadline(expiredDeadline)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// EPIPE is reported for a reset that came after the peer had closed its side.
--- a/internal/base/validator/head.go
+++ b/internal/base/validator/head.go
@@ -25,8 +25,8 @@
 	}
 	// net/http drops the Transfer-Encoding of a response of HTTP/1.0, whose framing is faulty then, so such a response is
 	// read as one of HTTP/1.1.
-	old := string(version) == version10
-	if old {
+	http10 := string(version) == version10
+	if http10 {
 		version[minorVersion] = '1'
 	}
 	res, err := http.ReadResponse(br, &http.Request{
@@ -35,10 +35,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if old && res.TransferEncoding != nil {
+	if http10 && res.TransferEncoding != nil {
 		return nil, errors.New("transfer encoding in a response of HTTP/1.0")
 	}
-	if old {
+	if http10 {
 		res.Proto, res.ProtoMinor = version10, 0
 		res.Close = res.Close || !keepsAlive(res.Header)
 	}
--- a/internal/base/validator/transport.go
+++ b/internal/base/validator/transport.go
@@ -42,12 +42,11 @@
 // RoundTrip sends the request and returns the response, or an error if its head is not valid; reading its body fails if
 // its trailer is not.
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	used := atomic.Pointer[recorder]{}
+	used := atomic.Pointer[recording]{}
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*recorder); ok {
-				c.start()
-				used.Store(c)
+				used.Store(c.start())
 			}
 		},
 	})
@@ -55,15 +54,15 @@
 	if err != nil {
 		return nil, err
 	}
-	c := used.Load()
-	if c == nil {
+	rec := used.Load()
+	if rec == nil {
 		err = checkHead(res)
 	} else {
-		err = checkHeads(c.stop(), r.Method)
+		err = checkHeads(rec.stop(), r.Method)
 	}
 	if err != nil {
-		if c != nil {
-			_ = c.Close()
+		if rec != nil {
+			_ = rec.conn.Close()
 		}
 		_ = res.Body.Close()
 		return nil, errors.Wrap(err, "read response")
--- a/internal/standin/rawserver/responses.go
+++ b/internal/standin/rawserver/responses.go
@@ -9,7 +9,11 @@
 	all := validResponses()
 	for _, broken := range []map[string]string{brokenVersions(), brokenStatuses(), brokenInterim(), brokenNames(), brokenValues(), brokenFraming()} {
 		for name, text := range broken {
-			all["broken "+name] = Response{Text: text, End: HalfClose, Broken: true}
+			all["broken "+name] = Response{
+				Text:   text,
+				End:    HalfClose,
+				Broken: true,
+			}
 		}
 	}
 	return all
@@ -59,7 +63,10 @@
 		"version 1.0, ended by the end": {Text: "HTTP/1.0 200 OK\r\n@\r\nwhole", End: HalfClose, Body: "whole"},
 	}
 	for name, text := range texts {
-		all[name] = Response{Text: text, Body: "whole"}
+		all[name] = Response{
+			Text: text,
+			Body: "whole",
+		}
 	}
 	return all
 }
