Accept more than three interim responses

What callers saw: a streaming node refused a valid response as broken off if more than three interim ones, such as 102 Processing, came before it.

Cause: interim responses counted against the four responses that are read while looking for the one to the request, which are meant for those to other requests.

Evidence: "many interim" of the table, thirty of them, failed at the connector and at callers on all three ways; the client of net/http accepts them.

Change: up to a hundred interim responses are read before a final one; TestEndlessResponse still bounds them.

--- a/internal/standin/rawserver/responses.go
+++ b/internal/standin/rawserver/responses.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 )
 
 // Responses are broken and valid responses, by name.
@@ -53,6 +54,7 @@
 		"interim with fields":      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + valid,
 		"several interim":          "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 \r\nX: 1\r\n\r\n" + valid,
 		"version 1.0":              "HTTP/1.0 200 OK\r\n@" + wholeBody,
+		"many interim":             strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 30) + valid,
 		"version 1.2":              "HTTP/1.2 200 OK\r\n@" + wholeBody,
 		"version 1.0, kept open":   "HTTP/1.0 200 OK\r\n@Connection: Keep-Alive\r\n" + wholeBody,
 	}
--- a/internal/stream/connector/conn.go
+++ b/internal/stream/connector/conn.go
@@ -27,6 +27,9 @@
 	// other requests are discarded.
 	foreignResponsesMax = 4
 
+	// interimResponsesMax is the number of interim responses read before a final one.
+	interimResponsesMax = 100
+
 	// headMaxBytes is the maximum size of the head of a response, and foreignBodyMaxBytes that of the body of a response
 	// to another request: a faulty peer may send either without end.
 	headMaxBytes        = 64 << 10
@@ -167,13 +170,10 @@
 		want = r.Header.Get(attempt)
 	}
 	for range foreignResponsesMax {
-		res, err := k.readHead(r)
+		res, err := k.readFinalHead(r)
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
-		if res.StatusCode < http.StatusOK {
-			continue
-		}
 		got := ""
 		if attempt != "" {
 			got = res.Header.Get(attempt)
@@ -197,6 +197,17 @@
 	return nil, errors.New("too many answers to other requests")
 }
 
+// readFinalHead reads interim responses and the head of the final one behind them.
+func (k *conn) readFinalHead(r *streamer.Request) (*http.Response, error) {
+	for range interimResponsesMax {
+		res, err := k.readHead(r)
+		if err != nil || res.StatusCode >= http.StatusOK {
+			return res, err
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
 // readHead reads the head of a response, up to headMaxBytes.
 func (k *conn) readHead(r *streamer.Request) (*http.Response, error) {
 	k.limited.N = headMaxBytes
