Take ports of test nodes from below those of outgoing connections

Cause: freeAddress returned a port that the kernel gives to any socket, and another one took it before the node listened there; the node's error went unseen. The tables of responses, which other packages test at the same time, open thousands of sockets, so that this is no longer rare.

Change: the ports come from where process tests take theirs. No check or bound changed.

--- a/internal/app/assembler/stop_test.go
+++ b/internal/app/assembler/stop_test.go
@@ -13,6 +13,7 @@
 	"github.com/chivegauge/chivegauge/internal/app/assembler"
 	"github.com/chivegauge/chivegauge/internal/cluster/registrar"
 	"github.com/chivegauge/chivegauge/internal/cluster/syncer"
+	"github.com/chivegauge/chivegauge/internal/measure/launcher"
 	"github.com/chivegauge/chivegauge/internal/request/router"
 	"github.com/chivegauge/chivegauge/internal/stream/executor"
 	"github.com/go-faster/errors"
@@ -142,12 +143,11 @@
 	return names
 }
 
-// freeAddress returns an address on which nothing listens.
+// freeAddress returns an address on which nothing listens, with a port that no outgoing connection takes meanwhile.
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := launcher.FreeAddress()
 	is.New(t).NoErr(err)
-	defer func() { is.New(t).NoErr(l.Close()) }()
-	return l.Addr().String()
+	return address
 }
 
 // testNode is a node with a local backend server.
