--- a/review/standins-2/backend.go
+++ b/review/standins-2/backend.go
@@ -65,8 +65,11 @@
 	answer  int // bytes of an answer
 	slots   chan struct{}
 	runs    *runs
+	onCrash func() // called when a request crashes the backend
 	server  *http.Server
 	done    chan struct{}
+	ended   sync.Once
+	crashed sync.Once
 
 	mu       sync.Mutex
 	state    string
@@ -94,8 +97,10 @@
 }
 
 func (b *backend) stop() {
-	close(b.done)
-	_ = b.server.Close()
+	b.ended.Do(func() {
+		close(b.done)
+		_ = b.server.Close()
+	})
 }
 
 // sendHeartbeats reports to the node until the backend ends; a refused or unanswered call is followed by the next one.
@@ -169,6 +174,11 @@
 		return
 	case <-time.After(b.work):
 	}
+	if strings.Contains(r.URL.Path, "/poison") {
+		b.crashed.Do(func() { go b.onCrash() })
+		time.Sleep(100 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(b.receiptName(), "receipt-"+id)
 	if b.fails() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/review/standins-2/case_busy.go
+++ b/review/standins-2/case_busy.go
@@ -28,7 +28,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	v := &verdict{}
-	grey := f.machines[0].backend
+	grey := f.machines[0].backendNow()
 	if trouble {
 		grey.setFailing(greyShare)
 		v.note("%.3f s: backend %s begins to fail %g of its requests", time.Since(f.started).Seconds(), grey.id, greyShare)
--- a/review/standins-2/case_drill.go
+++ b/review/standins-2/case_drill.go
@@ -14,7 +14,7 @@
 // The store is away for awayTime; there is changePause between the changes of the config before that.
 var (
 	awayTime    = time.Duration(envInt("AWAY_MS", 50)) * time.Millisecond
-	changePause = time.Duration(envInt("PAUSE_MS", 1000)) * time.Millisecond
+	changePause = time.Duration(envInt("PAUSE_MS", 900)) * time.Millisecond
 )
 
 // drill brings the store back from a copy that lacks the last two changes of the config. The operator writes the newest
--- a/review/standins-2/case_receipt.go
+++ b/review/standins-2/case_receipt.go
@@ -25,7 +25,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	v := &verdict{}
-	spoiling := f.machines[0].backend
+	spoiling := f.machines[0].backendNow()
 	if trouble {
 		spoiling.setSpoiling(spoiledShare)
 		v.note("%.3f s: backend %s begins to spoil %g of its answers", time.Since(f.started).Seconds(), spoiling.id, spoiledShare)
--- a/review/standins-2/machine.go
+++ b/review/standins-2/machine.go
@@ -27,11 +27,14 @@
 	app      string
 	internal int
 	settings string
-	backend  *backend
+	storeAt  string
+	gate     *gate
 
-	mu     sync.Mutex
-	node   *exec.Cmd
-	exited chan struct{}
+	mu      sync.Mutex
+	node    *exec.Cmd
+	exited  chan struct{}
+	backend *backend
+	boots   int
 }
 
 // fleet is a small deployment.
@@ -103,6 +106,9 @@
 	m.inbound, m.outbound, m.ready, m.control, m.app = at(0), at(1), at(2), at(3), at(4)
 	m.internal = ports[5]
 	m.settings = filepath.Join(f.dir, m.name+".yaml")
+	if m.gate, m.storeAt, err = newGate(f.store); err != nil {
+		return nil, err
+	}
 	f.machines = append(f.machines, m)
 	b.id = fmt.Sprintf("i-%s-1", m.name)
 	b.machine = m.name
@@ -110,10 +116,43 @@
 	b.address = m.app
 	b.control = m.control
 	b.runs = f.runs
+	b.onCrash = func() { f.replace(m) }
 	m.backend = b
+	m.boots = 1
 	return m, startBackend(b, slots)
 }
 
+// backendNow returns the backend of the machine.
+func (m *machine) backendNow() *backend {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.backend
+}
+
+// replace starts the next boot of a backend that has crashed.
+func (f *fleet) replace(m *machine) {
+	old := m.backendNow()
+	old.stop()
+	time.Sleep(crashDown)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.boots++
+	m.backend = &backend{
+		id:      fmt.Sprintf("i-%s-%d", m.name, m.boots),
+		machine: old.machine,
+		service: old.service,
+		address: old.address,
+		control: old.control,
+		work:    old.work,
+		answer:  old.answer,
+		runs:    old.runs,
+		onCrash: old.onCrash,
+	}
+	if err := startBackend(m.backend, cap(old.slots)); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
 // writeSettings writes the settings file of a machine with the bounds of the small site.
 func (f *fleet) writeSettings(m *machine, bootstrap bool) error {
 	text := fmt.Sprintf(`nodeName: %q
@@ -133,7 +172,7 @@
 appAddr: %q
 service: %q
 platform: {address: %q, form: "objects", writesPerS: 400, readsPerS: 2000, history: "20s", valueBytes: 1048576, ttlMin: "1000ms"}
-`, m.name, m.ip, m.zone, m.inbound, m.outbound, m.ready, m.control, m.internal, m.internal, bootstrap, m.app, m.service, f.store.address)
+`, m.name, m.ip, m.zone, m.inbound, m.outbound, m.ready, m.control, m.internal, m.internal, bootstrap, m.app, m.service, m.storeAt)
 	return os.WriteFile(m.settings, []byte(text), 0o600)
 }
 
@@ -216,7 +255,8 @@
 		<-m.signal(syscall.SIGKILL)
 	}
 	for _, m := range f.machines {
-		m.backend.stop()
+		m.backendNow().stop()
+		_ = m.gate.server.Close()
 	}
 	f.store.stop()
 	if os.Getenv("KEEP") != "" {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -31,11 +31,11 @@
 
 // cases are the cases by name; trouble is false for the run without the disruption.
 var cases = map[string]func(f *fleet, trouble bool) (*verdict, error){
-	"quota-freeze": quotaFreeze,
-	"drill":        drill,
-	"public-key":   publicKey,
-	"ran-503":      ran503,
-	"no-receipt":   noReceipt,
+	"drill":      drill,
+	"public-key": publicKey,
+	"ran-503":    ran503,
+	"no-receipt": noReceipt,
+	"poison":     poison,
 }
 
 func main() {
--- a/review/standins-2/owner.go
+++ b/review/standins-2/owner.go
@@ -58,8 +58,8 @@
 	return h ^ h>>32
 }
 
-// heaviest returns the machine with the highest weight for the key, by which the nodes choose the owner of a tenant's
-// bucket and the reader of a zone.
+// heaviest returns the machine with the highest weight for the key, by which the nodes choose the one that keeps a refused
+// request in the store.
 func heaviest(machines []*machine, key string) *machine {
 	best := machines[0]
 	for _, m := range machines[1:] {
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -295,3 +296,35 @@
 		}
 	}
 }
+
+// gate is the store as one machine sees it: while it is busy, the machine is turned away.
+type gate struct {
+	store  *store
+	busy   atomic.Bool
+	server *http.Server
+}
+
+// newGate returns a gate with an address of its own.
+func newGate(s *store) (*gate, string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	g := &gate{
+		store: s,
+	}
+	g.server = &http.Server{
+		Handler:           g,
+		ReadHeaderTimeout: 10 * time.Second,
+	}
+	go func() { _ = g.server.Serve(ln) }()
+	return g, ln.Addr().String(), nil
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.busy.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	g.store.ServeHTTP(w, r)
+}
