Review: doses, bounds and excuses of the cases checked; one withdrawn

Change: that case is withdrawn, the frozen owner is a case again, the cases are renumbered, the checks compute the third crash and the machines in touch, and the stand-ins end what they started on signals too.

--- a/review/standins-2/machine.go
+++ b/review/standins-2/machine.go
@@ -47,6 +47,9 @@
 	attempts *attempts
 	started  time.Time
 	group    sync.WaitGroup
+	ended    sync.Once
+
+	disturbances []disturbance
 }
 
 // program is the command of the deploy file.
@@ -247,6 +250,10 @@
 
 // end ends all processes that the fleet started, and removes its folder unless KEEP is set.
 func (f *fleet) end() {
+	f.ended.Do(f.endAll)
+}
+
+func (f *fleet) endAll() {
 	for _, m := range f.machines {
 		if m.node == nil {
 			continue
@@ -274,6 +281,30 @@
 	return fallback
 }
 
+// disturbance is a time in which a machine, or with an empty name the store, was not without disruption.
+type disturbance struct {
+	machine  string
+	from, to time.Time
+}
+
+func (f *fleet) disturb(machine string, from time.Time) {
+	f.disturbances = append(f.disturbances, disturbance{
+		machine: machine,
+		from:    from,
+		to:      time.Now(),
+	})
+}
+
+// inTouch reports whether the machine and the store were without disruption for contactTime before at.
+func (f *fleet) inTouch(machine string, at time.Time) bool {
+	for _, d := range f.disturbances {
+		if (d.machine == "" || d.machine == machine) && !d.from.After(at) && d.to.After(at.Add(-contactTime)) {
+			return false
+		}
+	}
+	return true
+}
+
 // tenant is one tenant of a config.
 type tenant struct {
 	name  string
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -5,6 +5,8 @@
 	"bufio"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -31,11 +33,11 @@
 
 // cases are the cases by name; trouble is false for the run without the disruption.
 var cases = map[string]func(f *fleet, trouble bool) (*verdict, error){
-	"drill":      drill,
-	"public-key": publicKey,
-	"ran-503":    ran503,
-	"no-receipt": noReceipt,
-	"poison":     poison,
+	"drill":        drill,
+	"public-key":   publicKey,
+	"quota-freeze": quotaFreeze,
+	"no-receipt":   noReceipt,
+	"poison":       poison,
 }
 
 func main() {
@@ -52,6 +54,14 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
+	defer f.end()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		f.end()
+		os.Exit(exitNotRun)
+	}()
 	v, err := cases[name](f, os.Getenv("TROUBLE") != "0")
 	f.end()
 	if err != nil {
