Read the configuration anew when the store changes its era

Callers: after a drill in which the store came back from an older copy, no running node learned of the operator's next change.

Cause: a node watches from the revision that it has seen last. The store gives revisions out again after a return, so that the watch is valid there and reports nothing; each of its empty responses counted as proof that the old configuration is the newest. A failed watch leads to a read, but no call had to fail: the HTTP client sends a watch that was cut off again by itself, and between two watches there is no call at all. The header Store-Era, which rises at each return, was read nowhere.

Change: each result of the store carries the era that its response names. A watch that is answered in another era than that of its revision is no proof and reports no change; the configuration is read at once. Eras are compared for equality, so that one that jumps, falls or is missing costs a read at most.

--- a/internal/cluster/syncer/bound_test.go
+++ b/internal/cluster/syncer/bound_test.go
@@ -107,6 +107,15 @@
 		s.update(func() { s.oldest = s.revision + 1 })
 		return cutNodes(s, readers)
 	},
+	// The copy lacks the last change, and the next one gets the revision of that.
+	"source back from an older copy": func(s *source, _ *zone, _ []string) []string {
+		s.comeBack(s.version-1, s.revision-1)
+		return nil
+	},
+	"source back from an older copy, reader cut": func(s *source, _ *zone, readers []string) []string {
+		s.comeBack(s.version-1, s.revision-1)
+		return cutNodes(s, readers)
+	},
 }
 
 func cutNodes(s *source, names []string) []string {
--- a/internal/cluster/syncer/syncer.go
+++ b/internal/cluster/syncer/syncer.go
@@ -20,7 +20,11 @@
 type ReadResult struct {
 	Document *router.Document
 
-	// Revision is that of the source at the time of the call.
+	// Era is that of the source at the time of the call; it changes when the source comes back from an older copy.
+	Era uint64
+
+	// Revision is that of the source at the time of the call; it counts the changes within the era, and is given out again
+	// in the next one.
 	Revision uint64
 
 	// Changed is the revision of the last change of the document.
@@ -78,11 +82,12 @@
 	mu         sync.Mutex
 	verifiedAt time.Time
 
-	// revision is that of the last call to the source, from which the next one waits for a change; 0 if that has to be a
-	// read.
+	// revision is that of the last call to the source, in its era, from which the next one waits for a change; 0 if that has
+	// to be a read.
 	revision uint64
+	era      uint64
 
-	// awaited is the highest revision up to which Await has reported all changes.
+	// awaited is the highest revision of the era up to which Await has reported all changes.
 	awaited  uint64
 	failing  bool
 	document router.Document
@@ -180,7 +185,8 @@
 	return s.callSource(ctx, callRead, cfg.ReadTimeout, s.Source.Read)
 }
 
-// callSource makes one call to the source; the configuration is verified as of the time when the call was sent.
+// callSource makes one call to the source; the configuration is verified as of the time when the call was sent. A watch
+// that is answered in another era than that of its revision reports no changes: the revision may stand for others there.
 func (s *syncer) callSource(ctx context.Context, call string, timeout time.Duration, f func(context.Context) (ReadResult, error)) error {
 	sent := s.Now()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -190,6 +196,14 @@
 		return err
 	}
 	s.mu.Lock()
+	if result.Era != s.era && call == callAwait {
+		defer s.mu.Unlock()
+		return errors.Errorf("the source went from era %d to %d", s.era, result.Era)
+	}
+	if result.Era != s.era {
+		s.era = result.Era
+		s.awaited = 0
+	}
 	s.revision = result.Revision
 	missed := call == callRead && result.Document != nil && result.Changed <= s.awaited && result.Document.Version > s.document.Version
 	if call == callAwait {
--- a/internal/cluster/syncer/syncer_test.go
+++ b/internal/cluster/syncer/syncer_test.go
@@ -34,6 +34,7 @@
 	mu           sync.Mutex
 	version      uint64
 	revision     uint64
+	era          uint64
 	oldest       uint64 // revisions below it have expired
 	skipped      uint64 // watches don't report changes up to it
 	changed      chan struct{}
@@ -63,7 +64,15 @@
 	s.changed = make(chan struct{})
 }
 
-// update changes the state of the source.
+// comeBack makes the source continue from an older copy.
+func (s *source) comeBack(version, revision uint64) {
+	s.update(func() {
+		s.era++
+		s.version = version
+		s.revision = revision
+	})
+}
+
 func (s *source) update(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,6 +103,7 @@
 		return syncer.ReadResult{}, errors.New("source unreachable")
 	}
 	r := syncer.ReadResult{
+		Era:      n.era,
 		Revision: n.revision,
 		Changed:  n.revision,
 	}
--- a/internal/telemetry/meter/meter.go
+++ b/internal/telemetry/meter/meter.go
@@ -36,6 +36,8 @@
 	CountAttempt(refusal *chivegauge.Refusal)
 	// CountStoreCall counts one call to the platform's store by its method and result.
 	CountStoreCall(method string, err error)
+	// CountStoreReturn counts one return of the platform's store from an older copy.
+	CountStoreReturn()
 	// RecordChangeDelay records an upper bound of the time from a change of the configuration to its use by this node.
 	RecordChangeDelay(bound time.Duration)
 	// CountRestart counts one restart of a part of the node after a failure.
@@ -72,6 +74,7 @@
 	requests metric.Int64Counter
 	attempts metric.Int64Counter
 	calls    metric.Int64Counter
+	returns  metric.Int64Counter
 	restarts metric.Int64Counter
 	duration metric.Float64Histogram
 	delay    metric.Float64Histogram
@@ -105,6 +108,9 @@
 	if m.calls, err = m.meter.Int64Counter("chivegauge.store.calls", metric.WithDescription("Calls to the platform's store by method and result")); err != nil {
 		return err
 	}
+	if m.returns, err = m.meter.Int64Counter("chivegauge.store.returns", metric.WithDescription("Returns of the platform's store from an older copy")); err != nil {
+		return err
+	}
 	if m.restarts, err = m.meter.Int64Counter("chivegauge.restarts", metric.WithDescription("Parts of the node started again after a fault")); err != nil {
 		return err
 	}
@@ -190,6 +196,11 @@
 	m.calls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("method", method), attribute.String("result", result)))
 }
 
+// CountStoreReturn counts one return of the store.
+func (m *meter) CountStoreReturn() {
+	m.returns.Add(context.Background(), 1)
+}
+
 // RecordChangeDelay records an upper bound of the time from a change of the configuration to its use by this node.
 func (m *meter) RecordChangeDelay(bound time.Duration) {
 	m.delay.Record(context.Background(), bound.Seconds())
