Send each request to the store and to nodes once

Cause: the transport of net/http sends a GET, HEAD or OPTIONS again by itself if a connection that was used before is cut off without a response. A watch that failed at the return of the store so became a watch of the next era, and nobody who called the client learned that the first one had failed.

Change: the transport gives each request a body that can't be read twice. An empty one is found to be empty by net/http and sent as no body.

--- a/internal/base/validator/transport.go
+++ b/internal/base/validator/transport.go
@@ -13,13 +13,13 @@
 	"github.com/go-faster/errors"
 )
 
-// transport is an http.Transport that returns no response which breaks off or is not valid.
+// transport is an http.Transport that sends each request once, and returns no response which breaks off or is not valid.
 type transport struct {
 	*http.Transport
 }
 
-// NewTransport returns t with connections that tell a reset from a close, and with a check of each response. Over TLS, where
-// nothing is recorded, only the head that t returns is checked.
+// NewTransport returns t with connections that tell a reset from a close, and with a check of each response; it sends no
+// request again by itself. Over TLS, where nothing is recorded, only the head that t returns is checked.
 func NewTransport(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
 	if dial == nil {
@@ -50,7 +50,7 @@
 			}
 		},
 	})
-	res, err := t.Transport.RoundTrip(r.WithContext(ctx))
+	res, err := t.Transport.RoundTrip(singleUse(r.WithContext(ctx)))
 	if err != nil {
 		return nil, err
 	}
@@ -74,6 +74,21 @@
 	return res, nil
 }
 
+// singleUse returns the request with a body that can't be read twice. The transport of net/http sends a request that it
+// can repeat again if a connection that was used before is cut off: the caller doesn't learn that the first one was lost.
+func singleUse(r *http.Request) *http.Request {
+	r.GetBody = nil
+	if r.Body != nil && r.Body != http.NoBody {
+		return r
+	}
+	switch r.Method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete:
+		// net/http finds out that this body is empty, and sends no chunked one with these methods.
+		r.Body = io.NopCloser(bytes.NewReader(nil))
+	}
+	return r
+}
+
 // checkHeads returns an error if one of the heads, up to that of the final response, is not valid.
 func checkHeads(heads []byte, method string) error {
 	br := bufio.NewReader(bytes.NewReader(heads))
