Take no proof of keys from a store that holds an older configuration

Callers: after a return of the store, until the operator has written the configuration again, nodes go on to accept keys as proved, although the store that proves them lacks the configuration in force. One that took another key away may be lost with it.

Cause: each successful call to the source counted as proof that the configuration in force is the newest, also one that named an older version; that version was ignored, its call was not.

Change: a call proves the configuration in force only if the source holds no older one. A configuration that came from another node makes the next call a read, so that what the source holds is known.

--- a/internal/cluster/syncer/peers.go
+++ b/internal/cluster/syncer/peers.go
@@ -164,6 +164,8 @@
 	}
 	verifiedAt := sent.Add(-snapshot.Age)
 	if snapshot.Document != nil {
+		// The next call finds out whether the source holds this version, too.
+		s.forgetRevision()
 		s.apply(*snapshot.Document, origin{
 			call:       callPoll,
 			sentAt:     sent,
--- a/internal/cluster/syncer/syncer.go
+++ b/internal/cluster/syncer/syncer.go
@@ -88,7 +88,11 @@
 	era      uint64
 
 	// awaited is the highest revision of the era up to which Await has reported all changes.
-	awaited  uint64
+	awaited uint64
+
+	// sourceVersion is the version of the configuration that the source holds, by the last call to it.
+	sourceVersion uint64
+
 	failing  bool
 	document router.Document
 
@@ -185,8 +189,8 @@
 	return s.callSource(ctx, callRead, cfg.ReadTimeout, s.Source.Read)
 }
 
-// callSource makes one call to the source; the configuration is verified as of the time when the call was sent. A watch
-// that is answered in another era than that of its revision reports no changes: the revision may stand for others there.
+// callSource makes one call to the source; the configuration is verified as of the time when the call was sent, unless
+// the source holds an older one: it has lost changes then, and may have lost newer ones than this node knows.
 func (s *syncer) callSource(ctx context.Context, call string, timeout time.Duration, f func(context.Context) (ReadResult, error)) error {
 	sent := s.Now()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -195,9 +199,30 @@
 	if err != nil {
 		return err
 	}
+	if err := s.acceptResult(call, result); err != nil {
+		return err
+	}
+	if result.Document != nil {
+		s.apply(*result.Document, origin{
+			verifiedAt: sent,
+			sentAt:     sent,
+			call:       call,
+		})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sourceVersion >= s.document.Version {
+		s.setVerifiedLocked(sent)
+	}
+	return nil
+}
+
+// acceptResult keeps what the result says of the source, or returns an error if it is of a watch that was answered in
+// another era than that of its revision: the revision may stand for other changes there.
+func (s *syncer) acceptResult(call string, result ReadResult) error {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if result.Era != s.era && call == callAwait {
-		defer s.mu.Unlock()
 		return errors.Errorf("the source went from era %d to %d", s.era, result.Era)
 	}
 	if result.Era != s.era {
@@ -205,25 +230,20 @@
 		s.awaited = 0
 	}
 	s.revision = result.Revision
-	missed := call == callRead && result.Document != nil && result.Changed <= s.awaited && result.Document.Version > s.document.Version
-	if call == callAwait {
-		s.awaited = max(s.awaited, result.Revision)
+	switch {
+	case result.Document != nil:
+		s.sourceVersion = result.Document.Version
+	case call == callRead:
+		s.sourceVersion = s.document.Version // it is not known
 	}
-	failing := s.failing
-	s.failing = false
-	s.mu.Unlock()
-	if missed {
+	if call == callRead && result.Document != nil && result.Changed <= s.awaited && result.Document.Version > s.document.Version {
 		s.Log.Error().Uint64("Version", result.Document.Version).Uint64("Changed", result.Changed).Msg("the source had not reported a change that was awaited")
 	}
-	if result.Document != nil {
-		s.apply(*result.Document, origin{
-			verifiedAt: sent,
-			sentAt:     sent,
-			call:       call,
-		})
+	if call == callAwait {
+		s.awaited = max(s.awaited, result.Revision)
 	}
-	s.setVerified(sent)
-	if failing {
+	if s.failing {
+		s.failing = false
 		s.Log.Info().Uint64("Revision", result.Revision).Msg("configuration source regained")
 	}
 	return nil
