Test the log of a configuration once it is written

The log of a failed run holds the line of the other node only. The test now waits until the nodes are idle, and checks the same. 600 runs of it and of TestSkippedChangeIsLogged passed.

--- a/internal/cluster/syncer/log_test.go
+++ b/internal/cluster/syncer/log_test.go
@@ -48,6 +48,7 @@
 		s := newSource()
 		z := startWith(t, s, testConfig(waitMax), log, "a", "b")
 		z.waitFor(t, "first version", hasVersion(1))
+		synctest.Wait()
 		for _, line := range log.with(t, "configuration in force") {
 			is.Equal(line["Call"], "Read")
 			is.Equal(line["LateAtMostMs"], nil)
@@ -55,6 +56,7 @@
 		time.Sleep(time.Second)
 		s.put(2)
 		z.waitFor(t, "next version", hasVersion(2))
+		synctest.Wait() // a configuration is logged once it is in force
 		calls := map[any]map[string]any{}
 		for _, line := range log.with(t, "configuration in force")[2:] {
 			calls[line["Call"]] = line
@@ -88,6 +90,7 @@
 		time.Sleep(time.Second)
 		s.update(func() { s.disconnected["a"] = false })
 		z.waitFor(t, "next version", hasVersion(2))
+		synctest.Wait()
 		is.Equal(len(log.with(t, "the source had not reported a change that was awaited")), 1)
 	})
 }
