Ask other nodes for a newer configuration in each era of the store

Callers: around a return of the store from an older copy, a node that was restarted, or that had missed the last change, accepted a key that the lost version had withdrawn, and ran requests by routes that it had dropped, until the operator had written the configuration again.

Cause: what the store holds was taken for all that was ever acknowledged. After a return other nodes may know more, but a node that reads the store never asks them.

Change: in each era, and after its start, a node asks up to four other nodes, all at the same time, before a call to the store counts as proof. Nodes whose polls failed lately are asked, too: what cut them off may have ended with the store's absence. A node that has just started waits up to 0.4 s for its first list of nodes; without it, nothing is proved. An answer is no proof of a configuration that is newer than it. Configurations become active one after the other, since several answers may come at once. Where no other node answers, the store's word counts, so that a node left alone serves.

--- a/internal/cluster/syncer/peers.go
+++ b/internal/cluster/syncer/peers.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
+	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 	"github.com/chivegauge/chivegauge/internal/request/router"
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -15,6 +18,11 @@
 
 	// randomPeersMax limits the polls of a node after a failed read: while nobody reaches the source, all nodes send them.
 	randomPeersMax = 4
+
+	// compareWait is how long a node that has just started waits for its list of nodes before it watches the source without
+	// having compared its configuration, and compareCheckTime how often it looks for the list.
+	compareWait      = 400 * time.Millisecond
+	compareCheckTime = 5 * time.Millisecond
 )
 
 // Poll asks another node for a version or a verification that is newer than those of the polling node; the other node
@@ -37,6 +45,8 @@
 type Members interface {
 	Self() chivegauge.Member
 	Alive() []chivegauge.Member
+	// Synced reports whether the list has been read since this node started.
+	Synced() bool
 }
 
 // PeerClient polls other nodes.
@@ -78,10 +88,11 @@
 // pollAny polls up to randomPeersMax random nodes of all zones for what they have, until one has a recent verification.
 func (s *syncer) pollAny(ctx context.Context) {
 	for range randomPeersMax {
-		m, ok := s.randomPeer()
-		if !ok || ctx.Err() != nil {
+		peers := s.randomPeers(1, s.skipped)
+		if len(peers) == 0 || ctx.Err() != nil {
 			return
 		}
+		m := peers[0]
 		switch s.pollPeer(ctx, m, 0) {
 		case pollRecent:
 			return
@@ -92,6 +103,33 @@
 	}
 }
 
+// compare polls up to randomPeersMax random nodes at the same time for a newer configuration, unless that was done in this era of the
+// source. A source that has come back from an older copy may lack the newest one, and this node may never have had it: it
+// was cut off, or has just started. A node that has just started waits for its first list of nodes before, for compareWait
+// at most.
+func (s *syncer) compare(ctx context.Context) {
+	s.mu.Lock()
+	compared := s.compared
+	s.mu.Unlock()
+	if compared {
+		return
+	}
+	for began := s.Now(); !s.Members.Synced(); timekeeper.Sleep(ctx, compareCheckTime) {
+		if ctx.Err() != nil || s.Now().Sub(began) >= compareWait {
+			return
+		}
+	}
+	group := sync.WaitGroup{}
+	all := func(chivegauge.Member) bool { return false } // one that was unreachable may have come back with the source
+	for _, m := range s.randomPeers(randomPeersMax, all) {
+		group.Go(func() { _, _, _ = s.exchange(ctx, m, 0) })
+	}
+	group.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compared = true
+}
+
 // zoneReader returns the node that reads the source for the zone of this node, or false if that is this node.
 func (s *syncer) zoneReader() (chivegauge.Member, bool) {
 	if _, ok := s.Router(); !ok {
@@ -106,22 +144,24 @@
 	return best, best.Address != self.Address
 }
 
-// randomPeer returns a random node of any zone; a node whose poll failed within skipTime is left out.
-func (s *syncer) randomPeer() (chivegauge.Member, bool) {
+// randomPeers returns up to n random nodes of all zones, without those that the function leaves out.
+func (s *syncer) randomPeers(n int, skip func(m chivegauge.Member) bool) []chivegauge.Member {
 	self := s.Members.Self()
-	now := s.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var list []chivegauge.Member
 	for _, m := range s.Members.Alive() {
-		if m.Address != self.Address && !now.Before(s.skipUntil[m.Address]) {
+		if m.Address != self.Address && !skip(m) {
 			list = append(list, m)
 		}
 	}
-	if len(list) == 0 {
-		return chivegauge.Member{}, false
-	}
-	return list[rand.IntN(len(list))], true
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
+
+// skipped reports whether a poll of the node failed within skipTime.
+func (s *syncer) skipped(m chivegauge.Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Now().Before(s.skipUntil[m.Address])
 }
 
 // readerKey is the key of the rendezvous hash that selects the reader of a zone.
@@ -142,12 +182,24 @@
 	pollFailed
 )
 
-// pollPeer polls another node and applies its snapshot, whose age is counted from when the poll was sent, so that it is
-// never underestimated.
+// pollPeer polls another node, and logs it if it does not help.
 func (s *syncer) pollPeer(ctx context.Context, m chivegauge.Member, wait time.Duration) pollResult {
+	result, snapshot, err := s.exchange(ctx, m, wait)
+	switch {
+	case err != nil:
+		s.Log.Info().Err(err).Str("Reader", m.Address).Msg("no proof from another node")
+	case result != pollRecent:
+		s.Log.Info().Str("Reader", m.Address).Dur("ProofAgeMs", snapshot.Age).Uint64("Version", snapshot.Version).Msg("no proof from another node")
+	}
+	return result
+}
+
+// exchange polls another node and applies its snapshot, which it returns with the present age of its verification. The age
+// is counted from when the poll was sent, so that it is never underestimated.
+func (s *syncer) exchange(ctx context.Context, m chivegauge.Member, wait time.Duration) (pollResult, Snapshot, error) {
 	r, ok := s.Router()
 	if !ok {
-		return pollFailed
+		return pollFailed, Snapshot{}, errors.New("this node has no configuration yet")
 	}
 	cfg := s.cfg.Load()
 	sent := s.Now()
@@ -159,8 +211,7 @@
 		Wait:         wait,
 	})
 	if err != nil {
-		s.Log.Info().Err(err).Str("Reader", m.Address).Msg("no proof from another node")
-		return pollFailed
+		return pollFailed, snapshot, err
 	}
 	verifiedAt := sent.Add(-snapshot.Age)
 	if snapshot.Document != nil {
@@ -173,20 +224,16 @@
 			verifiedAt: verifiedAt,
 		})
 	}
-	result := pollRecent
-	if snapshot.Version < r.Version() {
-		result = pollBehind
-	} else {
-		s.setVerified(verifiedAt)
-	}
-	age := s.Now().Sub(verifiedAt)
-	if age > cfg.AgeMax && snapshot.Version > 0 {
-		result = pollOld
+	s.setVerified(snapshot.Version, verifiedAt)
+	snapshot.Age = s.Now().Sub(verifiedAt)
+	switch {
+	case snapshot.Age > cfg.AgeMax && snapshot.Version > 0:
+		return pollOld, snapshot, nil
+	case snapshot.Version < r.Version():
+		return pollBehind, snapshot, nil
+	default:
+		return pollRecent, snapshot, nil
 	}
-	if result != pollRecent {
-		s.Log.Info().Str("Reader", m.Address).Dur("ProofAgeMs", age).Uint64("Version", snapshot.Version).Msg("no proof from another node")
-	}
-	return result
 }
 
 // skip excludes a node from polls for skipTime.
@@ -210,14 +257,17 @@
 	delete(s.skipUntil, address)
 }
 
-// setVerified records a verification, unless there is a later one.
-func (s *syncer) setVerified(at time.Time) {
+// setVerified records that the version was the newest at a time, unless there is a later verification or a newer version
+// in force.
+func (s *syncer) setVerified(version uint64, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.setVerifiedLocked(at)
+	if version >= s.document.Version {
+		s.setVerifiedLocked(at)
+	}
 }
 
-// setVerifiedLocked is setVerified with s.mu held.
+// setVerifiedLocked records a verification of the configuration in force, unless there is a later one; s.mu is held.
 func (s *syncer) setVerifiedLocked(at time.Time) {
 	if at.After(s.verifiedAt) {
 		s.verifiedAt = at
--- a/internal/cluster/syncer/return_test.go
+++ b/internal/cluster/syncer/return_test.go
@@ -1,13 +1,17 @@
 package syncer_test
 
 import (
+	"context"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/cluster/syncer"
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 )
 
 // TestNoProofFromOlderSource guards against a node that takes its keys for proved by a source that has come back from an
@@ -40,3 +44,102 @@
 		})
 	}
 }
+
+// TestNewerVersionIsLearnedFromOthers guards against a node that takes an older version for the newest after the source has
+// come back from an older copy: it missed the newest one, or was restarted, so that only the other nodes have it.
+func TestNewerVersionIsLearnedFromOthers(t *testing.T) {
+	tests := map[string]struct {
+		missed    time.Duration // how long before the return the node was cut off, from before the change on
+		restart   bool
+		listDelay time.Duration
+	}{
+		"missed":                          {missed: 5 * time.Millisecond},
+		"missed, cut off for long":        {missed: 3 * time.Second},
+		"restarted":                       {restart: true},
+		"missed, and restarted":           {missed: 5 * time.Millisecond, restart: true},
+		"restarted, nodes known later":    {restart: true, listDelay: 200 * time.Millisecond},
+		"restarted, nodes known too late": {restart: true, listDelay: 700 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		for _, other := range []string{"z/b", "y/b"} {
+			t.Run(name+", the other node is "+other, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					s := newSource()
+					z := startWith(t, s, nodeConfig(), io.Discard, "z/a", other, "y/c", "x/d")
+					z.waitFor(t, "first version", hasVersion(1))
+					time.Sleep(2 * time.Second)
+					late := z.nodes["z/a"]
+					isolate := func(on bool) {
+						s.update(func() { s.cut["z/a"] = on })
+						z.mu.Lock()
+						defer z.mu.Unlock()
+						z.hung["z/a"] = on
+					}
+					isolate(tt.missed > 0)
+					s.put(2)
+					time.Sleep(max(tt.missed, 5*time.Millisecond))
+					s.comeBack(1, s.revision-1)
+					returned := time.Now()
+					if tt.restart {
+						late = z.restart(t, s, "z/a", tt.listDelay)
+					}
+					isolate(false)
+					for !hasVersion(2)(late) {
+						is.True(late.Age() >= time.Since(returned))
+						is.True(time.Since(returned) <= changeTime)
+						time.Sleep(time.Millisecond)
+					}
+				})
+			})
+		}
+	}
+}
+
+// newNode returns a node of the zone that has not started yet; it knows the other nodes from syncedAt on.
+func (z *zone) newNode(s *source, m chivegauge.Member, cfg syncer.Config, log io.Writer, syncedAt time.Time) syncer.Syncer {
+	node := nodeMembers{
+		zone:     z,
+		self:     m,
+		syncedAt: syncedAt,
+	}
+	return syncer.New(cfg, syncer.Parts{
+		Now: time.Now,
+		Source: nodeSource{
+			source: s,
+			name:   m.Address,
+		},
+		Members: node,
+		Peers:   node,
+		Meter:   z.delays,
+		Log:     zerolog.New(log).With().Str("Node", m.Address).Logger(),
+	})
+}
+
+// serve runs the node at the address until the test ends, or until it is restarted.
+func (z *zone) serve(t *testing.T, address string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group := sync.WaitGroup{}
+	node := z.nodes[address]
+	group.Go(func() { _ = node.Serve(ctx) })
+	z.stops[address] = func() {
+		cancel()
+		group.Wait()
+	}
+	t.Cleanup(z.stops[address])
+}
+
+// restart replaces the node at the address by one that has just started, and knows the other nodes after the delay.
+func (z *zone) restart(t *testing.T, s *source, address string, listDelay time.Duration) syncer.Syncer {
+	t.Helper()
+	z.stops[address]()
+	for _, m := range z.members {
+		if m.Address == address {
+			z.mu.Lock()
+			z.nodes[address] = z.newNode(s, m, nodeConfig(), io.Discard, time.Now().Add(listDelay))
+			z.mu.Unlock()
+			z.serve(t, address)
+		}
+	}
+	return z.nodes[address]
+}
--- a/internal/cluster/syncer/syncer.go
+++ b/internal/cluster/syncer/syncer.go
@@ -78,6 +78,7 @@
 	cfg         atomic.Pointer[Config]
 	subscribers []func(router.Router)
 	current     atomic.Pointer[router.Router]
+	applyMu     sync.Mutex // held while a configuration becomes active
 
 	mu         sync.Mutex
 	verifiedAt time.Time
@@ -93,6 +94,9 @@
 	// sourceVersion is the version of the configuration that the source holds, by the last call to it.
 	sourceVersion uint64
 
+	// compared is set once other nodes were asked for a newer configuration in this era: the source may have lost it.
+	compared bool
+
 	failing  bool
 	document router.Document
 
@@ -190,10 +194,11 @@
 }
 
 // callSource makes one call to the source; the configuration is verified as of the time when the call was sent, unless
-// the source holds an older one: it has lost changes then, and may have lost newer ones than this node knows.
-func (s *syncer) callSource(ctx context.Context, call string, timeout time.Duration, f func(context.Context) (ReadResult, error)) error {
+// the source holds an older one: it has lost changes then, and may have lost newer ones than this node knows. The first
+// time in an era, other nodes are asked for a newer one before.
+func (s *syncer) callSource(parent context.Context, call string, timeout time.Duration, f func(context.Context) (ReadResult, error)) error {
 	sent := s.Now()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(parent, timeout)
 	defer cancel()
 	result, err := f(ctx)
 	if err != nil {
@@ -203,20 +208,29 @@
 		return err
 	}
 	if result.Document != nil {
-		s.apply(*result.Document, origin{
-			verifiedAt: sent,
-			sentAt:     sent,
-			call:       call,
-		})
+		from := origin{
+			call:   call,
+			sentAt: sent,
+		}
+		if _, ok := s.proof(); ok {
+			from.verifiedAt = sent
+		}
+		s.apply(*result.Document, from)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.sourceVersion >= s.document.Version {
-		s.setVerifiedLocked(sent)
+	s.compare(parent)
+	if version, ok := s.proof(); ok {
+		s.setVerified(version, sent)
 	}
 	return nil
 }
 
+// proof returns the version that the source holds by the last call to it, and whether that proves it to be the newest.
+func (s *syncer) proof() (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sourceVersion, s.compared
+}
+
 // acceptResult keeps what the result says of the source, or returns an error if it is of a watch that was answered in
 // another era than that of its revision: the revision may stand for other changes there.
 func (s *syncer) acceptResult(call string, result ReadResult) error {
@@ -228,6 +242,7 @@
 	if result.Era != s.era {
 		s.era = result.Era
 		s.awaited = 0
+		s.compared = false
 	}
 	s.revision = result.Revision
 	switch {
@@ -264,7 +279,7 @@
 )
 
 // origin says how a configuration was received: by which call, when that was sent, to which other node unless it was
-// sent to the source, and when the configuration was the newest.
+// sent to the source, and when the configuration was the newest, which is zero if that is not known.
 type origin struct {
 	call       string
 	sentAt     time.Time
@@ -274,6 +289,8 @@
 
 // apply makes a newer configuration active, together with the time of its verification; an older one is ignored.
 func (s *syncer) apply(d router.Document, from origin) {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
 	old, ok := s.Router()
 	if ok && d.Version <= old.Version() {
 		if d.Version < old.Version() {
@@ -300,7 +317,10 @@
 func (s *syncer) logChange(d router.Document, from origin, previous time.Time) {
 	now := s.Now()
 	e := s.Log.Info().Uint64("Version", d.Version).Int("Routes", len(d.Config.Routes)).Int("Workspaces", len(d.Config.Workspaces)).
-		Str("Call", from.call).Dur("CallMs", now.Sub(from.sentAt)).Dur("ProofAgeMs", now.Sub(from.verifiedAt))
+		Str("Call", from.call).Dur("CallMs", now.Sub(from.sentAt))
+	if !from.verifiedAt.IsZero() {
+		e.Dur("ProofAgeMs", now.Sub(from.verifiedAt))
+	}
 	if from.peer != "" {
 		e.Str("From", from.peer)
 	}
--- a/internal/cluster/syncer/syncer_test.go
+++ b/internal/cluster/syncer/syncer_test.go
@@ -14,7 +14,6 @@
 	"github.com/chivegauge/chivegauge/internal/request/router"
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 )
 
 const (
@@ -171,27 +170,37 @@
 	mu      sync.Mutex
 	silent  map[string]bool
 	hung    map[string]bool
+	stops   map[string]func()
 }
 
 // nodeMembers is the set of nodes as seen by one of them.
 type nodeMembers struct {
 	*zone
-	self chivegauge.Member
+	self     chivegauge.Member
+	syncedAt time.Time
 }
 
-func (n nodeMembers) Self() chivegauge.Member    { return n.self }
-func (n nodeMembers) Alive() []chivegauge.Member { return n.members }
+func (n nodeMembers) Self() chivegauge.Member { return n.self }
+func (n nodeMembers) Synced() bool            { return !time.Now().Before(n.syncedAt) }
+
+func (n nodeMembers) Alive() []chivegauge.Member {
+	if !n.Synced() {
+		return []chivegauge.Member{n.self}
+	}
+	return n.members
+}
 
 func (n nodeMembers) Poll(ctx context.Context, m chivegauge.Member, p syncer.Poll) (syncer.Snapshot, error) {
 	n.polls.Add(1)
 	time.Sleep(latency)
 	n.mu.Lock()
 	silent := n.silent[m.Address]
+	node := n.nodes[m.Address]
 	n.mu.Unlock()
 	if silent {
 		return syncer.Snapshot{}, errors.New("no response")
 	}
-	snapshot := n.nodes[m.Address].AnswerPoll(ctx, p)
+	snapshot := node.AnswerPoll(ctx, p)
 	n.mu.Lock()
 	hung := n.hung[m.Address] || n.hung[n.self.Address]
 	n.mu.Unlock()
@@ -242,6 +251,7 @@
 		nodes:  map[string]syncer.Syncer{},
 		silent: map[string]bool{},
 		hung:   map[string]bool{},
+		stops:  map[string]func(){},
 		delays: &delays{},
 	}
 	for _, name := range names {
@@ -254,32 +264,12 @@
 			Zone:    zone,
 		})
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	group := sync.WaitGroup{}
 	for _, m := range z.members {
-		node := nodeMembers{
-			zone: z,
-			self: m,
-		}
-		z.nodes[m.Address] = syncer.New(cfg, syncer.Parts{
-			Now: time.Now,
-			Source: nodeSource{
-				source: s,
-				name:   m.Address,
-			},
-			Members: node,
-			Peers:   node,
-			Meter:   z.delays,
-			Log:     zerolog.New(log).With().Str("Node", m.Address).Logger(),
-		})
+		z.nodes[m.Address] = z.newNode(s, m, cfg, log, time.Time{})
 	}
-	for _, f := range z.nodes {
-		group.Go(func() { _ = f.Serve(ctx) })
+	for address := range z.nodes {
+		z.serve(t, address)
 	}
-	t.Cleanup(func() {
-		cancel()
-		group.Wait()
-	})
 	return z
 }
 
