Write the record of a node again when the store has lost it

Callers: a departure that a node had acknowledged to its backend server, and a request that was refused because it crashes backend servers, were missing in the store for up to 10 s after a return from an older copy. A restart of the nodes in that time would forget them.

Cause: the acknowledgement of a write was taken for good. The lists that nodes read may be out of date, so that a record which was missing there was written again only 10 s after its last write; a return loses just the writes of the last seconds.

Change: an acknowledgement counts in its era. If a list shows another one, the node reads its own record, which is one read a node, and writes it again if it was lost: within 2.5 s, the longest time between two lists.

--- a/internal/app/assembler/stop_test.go
+++ b/internal/app/assembler/stop_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -92,27 +94,31 @@
 	}, ctx.Err()
 }
 
-func (s *store) List(context.Context, bool) ([]registrar.Record, error) {
+func (s *store) List(context.Context, bool) (registrar.View, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, errors.New("the store is down")
+		return registrar.View{}, errors.New("the store is down")
 	}
-	var list []registrar.Record
-	for _, r := range s.records {
-		list = append(list, r)
-	}
-	return list, nil
+	return registrar.View{
+		Records: slices.Collect(maps.Values(s.records)),
+	}, nil
 }
 
-func (s *store) Put(_ context.Context, r registrar.Record) error {
+func (s *store) Get(ctx context.Context, address string) (registrar.View, error) {
+	view, err := s.List(ctx, false)
+	view.Records = slices.DeleteFunc(view.Records, func(r registrar.Record) bool { return r.Member.Address != address })
+	return view, err
+}
+
+func (s *store) Put(_ context.Context, r registrar.Record) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return errors.New("the store is down")
+		return 0, errors.New("the store is down")
 	}
 	s.records[r.Member.Address] = r
-	return nil
+	return 0, nil
 }
 
 func (s *store) Delete(_ context.Context, address string) error {
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -13,10 +13,21 @@
 	"github.com/rs/zerolog"
 )
 
-// Store keeps the records of all nodes; if stale is set, List may return a list that is some seconds old.
+// View is what a store holds; its era changes when the store comes back from an older copy.
+type View struct {
+	Era     uint64
+	Records []Record
+}
+
+// Store keeps the records of all nodes.
 type Store interface {
-	List(ctx context.Context, stale bool) ([]Record, error)
-	Put(ctx context.Context, r Record) error
+	// List returns all records; if stale is set, they may be some seconds old.
+	List(ctx context.Context, stale bool) (View, error)
+	// Get returns the record of the address, or no record if there is none.
+	Get(ctx context.Context, address string) (View, error)
+	// Put writes the record, and returns the era of the store that has it.
+	Put(ctx context.Context, r Record) (era uint64, err error)
+	// Delete removes the record of the address.
 	Delete(ctx context.Context, address string) error
 }
 
@@ -106,9 +117,10 @@
 	records  map[string]Record
 	failing  bool
 
-	// storedChange is the last change of this node's record that the store acknowledged, at storedAt.
+	// storedChange is the last change of this node's record that the store acknowledged, at storedAt and in storedEra.
 	storedChange uint64
 	storedAt     time.Time
+	storedEra    uint64
 }
 
 // New returns a registrar of the node.
@@ -197,49 +209,24 @@
 	first := !r.Synced()
 	callCtx, cancel := context.WithTimeout(ctx, r.cfg.Timeout)
 	defer cancel()
-	list, err := r.store.List(callCtx, !first)
+	view, err := r.store.List(callCtx, !first)
 	if err != nil {
 		return err
 	}
 	changed := first
-	for _, rec := range list {
+	for _, rec := range view.Records {
 		changed = r.mergeRecord(rec, first) || changed
 	}
 	if changed {
 		r.publish()
 	}
 	if !first {
-		return r.repair(ctx, list)
+		return r.repair(ctx, view)
 	}
 	r.synced.Store(true)
 	return r.Update(ctx, func(rec Record) Record { return r.cfg.Describe(r.supersedePrevious(rec)) })
 }
 
-// repair writes the record of this node again if the store did not acknowledge it, or if a delayed write of this
-// process has overwritten it with an earlier version.
-func (r *registrar) repair(ctx context.Context, list []Record) error {
-	r.writeMu.Lock()
-	defer r.writeMu.Unlock()
-	r.mu.Lock()
-	own := r.own
-	due := r.storedChange != own.Change || (time.Since(r.storedAt) > r.cfg.StaleMax && !contains(list, own))
-	r.mu.Unlock()
-	if !due {
-		return nil
-	}
-	return r.put(ctx, own)
-}
-
-// contains reports whether the list has the record, or a newer version of it.
-func contains(list []Record, own Record) bool {
-	for _, rec := range list {
-		if rec.Member.Address == own.Member.Address {
-			return !own.Newer(rec)
-		}
-	}
-	return false
-}
-
 // supersedePrevious raises the incarnation of the record above that of an earlier process at this address, and keeps what
 // still holds of it.
 func (r *registrar) supersedePrevious(rec Record) Record {
@@ -357,20 +344,6 @@
 	return r.put(ctx, own)
 }
 
-// put writes the record of this node; r.writeMu is held.
-func (r *registrar) put(ctx context.Context, own Record) error {
-	ctx, cancel := context.WithTimeout(ctx, r.cfg.Timeout)
-	defer cancel()
-	if err := r.store.Put(ctx, own); err != nil {
-		return err
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.storedChange = own.Change
-	r.storedAt = time.Now()
-	return nil
-}
-
 // notify sends the record to the nodes without waiting for their responses.
 func (r *registrar) notify(to []Record, rec Record) {
 	for _, other := range to {
--- a/internal/cluster/registrar/registrar_test.go
+++ b/internal/cluster/registrar/registrar_test.go
@@ -19,49 +19,6 @@
 // waitMax is how long a test waits for a condition.
 const waitMax = 10 * time.Second
 
-// store holds records; its calls fail while it is down.
-type store struct {
-	mu      sync.Mutex
-	down    bool
-	records map[string]registrar.Record
-}
-
-func (s *store) List(context.Context, bool) ([]registrar.Record, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return nil, errors.New("down")
-	}
-	list := make([]registrar.Record, 0, len(s.records))
-	for _, r := range s.records {
-		list = append(list, r)
-	}
-	return list, nil
-}
-
-func (s *store) Put(_ context.Context, r registrar.Record) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return errors.New("down")
-	}
-	s.records[r.Member.Address] = r
-	return nil
-}
-
-func (s *store) Delete(_ context.Context, address string) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.records, address)
-	return nil
-}
-
-func (s *store) setDown(on bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = on
-}
-
 // The addresses of nodes.
 const (
 	nodeA = "10.0.0.1:8543"
@@ -112,6 +69,12 @@
 
 // start starts a node with the record.
 func (f *fleet) start(t *testing.T, r registrar.Record) registrar.Registrar {
+	t.Helper()
+	return f.startWith(t, r, 50*time.Millisecond)
+}
+
+// startWith starts a node with the record, for which a stale list may be staleMax old.
+func (f *fleet) startWith(t *testing.T, r registrar.Record, staleMax time.Duration) registrar.Registrar {
 	t.Helper()
 	n := registrar.New(registrar.Config{
 		Timeout:       time.Second,
@@ -120,7 +83,7 @@
 		StartupPeriod: 5 * time.Millisecond,
 		StartupTime:   time.Second,
 		RetryMax:      20 * time.Millisecond,
-		StaleMax:      50 * time.Millisecond,
+		StaleMax:      staleMax,
 		Describe:      func(rec registrar.Record) registrar.Record { return rec },
 	}, f.store, f, r, zerolog.New(io.Discard))
 	n.SubscribeDepartures(func(rec registrar.Record) {
@@ -196,7 +159,7 @@
 	before := record(nodeA, 1)
 	before.Instance = "i-a"
 	before.Leaving = true
-	is.NoErr(f.store.Put(context.Background(), before))
+	f.store.records[nodeA] = before
 	n := f.start(t, record(nodeA, 2))
 	eventually(t, "the list", n.Synced)
 	previous := <-f.departures
@@ -204,8 +167,8 @@
 	is.Equal(previous.Instance, "i-a")
 	is.Equal(previous.Member.Incarnation, uint64(1))
 	eventually(t, "the record of the next process to be leaving", func() bool {
-		list, err := f.store.List(context.Background(), false)
-		return err == nil && list[0].Member.Incarnation == 2 && list[0].Leaving
+		r := f.store.stored()
+		return r.Member.Incarnation == 2 && r.Leaving
 	})
 }
 
@@ -261,7 +224,7 @@
 	before.Change = 4
 	before.Instance = "i-a"
 	before.Member.State = chivegauge.Draining
-	is.NoErr(f.store.Put(context.Background(), before))
+	f.store.records[nodeA] = before
 	other := f.start(t, record(nodeB, 1))
 	eventually(t, "the list", other.Synced)
 	is.Equal(len(other.Service("booking")), 0)
@@ -277,15 +240,13 @@
 	f := newFleet()
 	n := f.start(t, record(nodeA, 1))
 	eventually(t, "the list", n.Synced)
-	stored := func() bool {
-		list, err := f.store.List(context.Background(), false)
-		return err == nil && len(list) == 1 && list[0].Leaving
-	}
+	stored := func() bool { return f.store.stored().Leaving }
 	f.store.setDown(true)
 	is.True(n.Update(context.Background(), with("i-a", true)) != nil)
 	f.store.setDown(false)
 	eventually(t, "the record after the outage", stored)
-	is.NoErr(f.store.Put(context.Background(), record(nodeA, 1)))
+	_, err := f.store.Put(context.Background(), record(nodeA, 1))
+	is.NoErr(err)
 	eventually(t, "the record after a delayed write", stored)
 }
 
