Ask other nodes once they are known

Cause: a store that has come back from an older copy may lack the records of the other nodes, too. A node that started then found nobody to ask, took its configuration for compared, and never asked.

Change: while a node knows no others, the word of the store counts, but the comparison is still due, and is made once the others have written their records again.

Evidence: TestNewerVersionIsLearnedOnceOthersAreKnown failed before.

--- a/internal/cluster/syncer/peers.go
+++ b/internal/cluster/syncer/peers.go
@@ -103,31 +103,41 @@
 	}
 }
 
-// compare polls up to randomPeersMax random nodes at the same time for a newer configuration, unless that was done in this era of the
-// source. A source that has come back from an older copy may lack the newest one, and this node may never have had it: it
-// was cut off, or has just started. A node that has just started waits for its first list of nodes before, for compareWait
-// at most.
-func (s *syncer) compare(ctx context.Context) {
+// isCompared reports whether other nodes were asked for a newer configuration in this era of the source.
+func (s *syncer) isCompared() bool {
 	s.mu.Lock()
-	compared := s.compared
-	s.mu.Unlock()
-	if compared {
-		return
+	defer s.mu.Unlock()
+	return s.compared
+}
+
+// compare polls up to randomPeersMax random nodes at the same time for a newer configuration, unless that was done in this
+// era of the source, and reports whether a call to the source proves something. A source that has come back from an older
+// copy may lack the newest configuration, and this node may never have had it: it was cut off, or has just started. Such a
+// node waits for its first list of nodes before, for compareWait at most. The list may have lost nodes, too: while there
+// are none, the source's word counts, and those that come are asked.
+func (s *syncer) compare(ctx context.Context) bool {
+	if s.isCompared() {
+		return true
 	}
 	for began := s.Now(); !s.Members.Synced(); timekeeper.Sleep(ctx, compareCheckTime) {
 		if ctx.Err() != nil || s.Now().Sub(began) >= compareWait {
-			return
+			return false
 		}
 	}
-	group := sync.WaitGroup{}
 	all := func(chivegauge.Member) bool { return false } // one that was unreachable may have come back with the source
-	for _, m := range s.randomPeers(randomPeersMax, all) {
+	peers := s.randomPeers(randomPeersMax, all)
+	if len(peers) == 0 {
+		return true
+	}
+	group := sync.WaitGroup{}
+	for _, m := range peers {
 		group.Go(func() { _, _, _ = s.exchange(ctx, m, 0) })
 	}
 	group.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.compared = true
+	return true
 }
 
 // zoneReader returns the node that reads the source for the zone of this node, or false if that is this node.
--- a/internal/cluster/syncer/return_test.go
+++ b/internal/cluster/syncer/return_test.go
@@ -82,7 +82,7 @@
 					s.comeBack(1, s.revision-1)
 					returned := time.Now()
 					if tt.restart {
-						late = z.restart(t, s, "z/a", tt.listDelay)
+						late = z.restart(t, s, "z/a", tt.listDelay, 0)
 					}
 					isolate(false)
 					for !hasVersion(2)(late) {
@@ -96,12 +96,30 @@
 	}
 }
 
-// newNode returns a node of the zone that has not started yet; it knows the other nodes from syncedAt on.
-func (z *zone) newNode(s *source, m chivegauge.Member, cfg syncer.Config, log io.Writer, syncedAt time.Time) syncer.Syncer {
+// TestNewerVersionIsLearnedOnceOthersAreKnown guards against a restarted node that keeps to an older version since the store
+// had lost the records of the other nodes, too, when it started.
+func TestNewerVersionIsLearnedOnceOthersAreKnown(t *testing.T) {
+	const unknown = 700 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		s := newSource()
+		z := startWith(t, s, nodeConfig(), io.Discard, "z/a", "z/b", "y/c")
+		s.put(2)
+		z.waitFor(t, "next version", hasVersion(2))
+		s.comeBack(1, s.revision-1)
+		late := z.restart(t, s, "z/a", 0, unknown)
+		time.Sleep(unknown + changeTime)
+		is.New(t).True(hasVersion(2)(late))
+	})
+}
+
+// newNode returns a node of the zone that has not started yet; it has a list of nodes from syncedAt
+// on, which has the other nodes from knownAt on.
+func (z *zone) newNode(s *source, m chivegauge.Member, cfg syncer.Config, log io.Writer, syncedAt, knownAt time.Time) syncer.Syncer {
 	node := nodeMembers{
 		zone:     z,
 		self:     m,
 		syncedAt: syncedAt,
+		knownAt:  knownAt,
 	}
 	return syncer.New(cfg, syncer.Parts{
 		Now: time.Now,
@@ -129,14 +147,16 @@
 	t.Cleanup(z.stops[address])
 }
 
-// restart replaces the node at the address by one that has just started, and knows the other nodes after the delay.
-func (z *zone) restart(t *testing.T, s *source, address string, listDelay time.Duration) syncer.Syncer {
+// restart replaces the node at the address by one that has just started. It has its list of nodes after listDelay, with
+// the other nodes after knownDelay.
+func (z *zone) restart(t *testing.T, s *source, address string, listDelay, knownDelay time.Duration) syncer.Syncer {
 	t.Helper()
+	now := time.Now()
 	z.stops[address]()
 	for _, m := range z.members {
 		if m.Address == address {
 			z.mu.Lock()
-			z.nodes[address] = z.newNode(s, m, nodeConfig(), io.Discard, time.Now().Add(listDelay))
+			z.nodes[address] = z.newNode(s, m, nodeConfig(), io.Discard, now.Add(listDelay), now.Add(max(listDelay, knownDelay)))
 			z.mu.Unlock()
 			z.serve(t, address)
 		}
--- a/internal/cluster/syncer/syncer.go
+++ b/internal/cluster/syncer/syncer.go
@@ -212,25 +212,20 @@
 			call:   call,
 			sentAt: sent,
 		}
-		if _, ok := s.proof(); ok {
+		if s.isCompared() {
 			from.verifiedAt = sent
 		}
 		s.apply(*result.Document, from)
 	}
-	s.compare(parent)
-	if version, ok := s.proof(); ok {
+	if s.compare(parent) {
+		s.mu.Lock()
+		version := s.sourceVersion
+		s.mu.Unlock()
 		s.setVerified(version, sent)
 	}
 	return nil
 }
 
-// proof returns the version that the source holds by the last call to it, and whether that proves it to be the newest.
-func (s *syncer) proof() (uint64, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.sourceVersion, s.compared
-}
-
 // acceptResult keeps what the result says of the source, or returns an error if it is of a watch that was answered in
 // another era than that of its revision: the revision may stand for other changes there.
 func (s *syncer) acceptResult(call string, result ReadResult) error {
--- a/internal/cluster/syncer/syncer_test.go
+++ b/internal/cluster/syncer/syncer_test.go
@@ -178,13 +178,14 @@
 	*zone
 	self     chivegauge.Member
 	syncedAt time.Time
+	knownAt  time.Time
 }
 
 func (n nodeMembers) Self() chivegauge.Member { return n.self }
 func (n nodeMembers) Synced() bool            { return !time.Now().Before(n.syncedAt) }
 
 func (n nodeMembers) Alive() []chivegauge.Member {
-	if !n.Synced() {
+	if time.Now().Before(n.knownAt) {
 		return []chivegauge.Member{n.self}
 	}
 	return n.members
@@ -265,7 +266,7 @@
 		})
 	}
 	for _, m := range z.members {
-		z.nodes[m.Address] = z.newNode(s, m, cfg, log, time.Time{})
+		z.nodes[m.Address] = z.newNode(s, m, cfg, log, time.Time{}, time.Time{})
 	}
 	for address := range z.nodes {
 		z.serve(t, address)
