Keep confirmed documents over a return of the store at chivegauge node

Callers of chivegauge node: after its store had come back from an older copy, a confirmed change, such as a withdrawn key, was in force at no node until the store had given out as many versions as were lost; what the store had lost stayed lost there, so that later nodes and later changes did without it.

The store's versions are given out again after a return; watchers wait for a version above the last one, and nodes ignore documents whose version is not above the one in force. Nobody compared what the store holds with what was acknowledged.

Change: the store names its era in the header Era, and a version holds it in its highest bits, so that versions of a later era are above all earlier ones, at each place that compares them. A watch that ends in another era is an error, which leads to a read. A conditional write on a version of an earlier era is a conflict, and the store is told the era to compare. A document whose content is older than the active one is refused with an error of its own, and the watchers write the active one again, on the version that they have read. A store that names no era is used as before.

--- a/internal/base/storer/storer.go
+++ b/internal/base/storer/storer.go
@@ -25,9 +25,11 @@
 	ErrConflict = errors.New("store: version conflict")
 	// ErrNotFound is returned if the key has no object.
 	ErrNotFound = errors.New("store: object not found")
+	// ErrReturned is returned if the store has come back from an older copy, where the version stands for another change.
+	ErrReturned = errors.New("store: back from an older copy")
 )
 
-// Object is a stored value with its key and version.
+// Object is a stored value with its key and version; a version of a later era of the store is above all earlier ones.
 type Object struct {
 	Key     string
 	Version uint64
@@ -48,6 +50,7 @@
 	timeout   time.Duration
 	watchWait time.Duration
 	client    *http.Client
+	era       eraTracker
 }
 
 // New returns a client of the store at the URL; timeout limits a call, and watchWait is how long a watch waits for a
@@ -78,12 +81,19 @@
 	if version == 0 {
 		header.Set("If-None-Match", "*")
 	} else {
-		header.Set("If-Match", strconv.FormatUint(version, 10))
+		header.Set("If-Match", strconv.FormatUint(number(version), 10))
+		header.Set(headerEra, strconv.FormatUint(era(version), 10))
+	}
+	if version != 0 && era(version) != s.era.highest() {
+		return Object{}, ErrConflict
 	}
 	o, err := s.callObject(ctx, s.timeout, http.MethodPut, objectPath(key), header, value)
 	if err != nil {
 		return Object{}, err
 	}
+	if version != 0 && era(version) != era(o.Version) {
+		return Object{}, ErrConflict
+	}
 	o.Key = key
 	o.Value = value
 	return o, nil
@@ -113,10 +123,15 @@
 	return list, nil
 }
 
-// Watch returns the object once its version is above after, or ErrNotFound if it did not change within the wait.
+// Watch returns the object once its version is above after, ErrNotFound if it did not change within the wait, or
+// ErrReturned if the store is in another era than the version.
 func (s *store) Watch(ctx context.Context, key string, after uint64) (Object, error) {
-	q := "?after=" + strconv.FormatUint(after, 10) + "&waitMs=" + strconv.FormatInt(s.watchWait.Milliseconds(), 10)
-	return s.callObject(ctx, s.watchWait+s.timeout, http.MethodGet, objectPath(key)+q, nil, nil)
+	q := "?after=" + strconv.FormatUint(number(after), 10) + "&waitMs=" + strconv.FormatInt(s.watchWait.Milliseconds(), 10)
+	o, err := s.callObject(ctx, s.watchWait+s.timeout, http.MethodGet, objectPath(key)+q, nil, nil)
+	if errors.Is(err, ErrNotFound) && era(o.Version) != era(after) {
+		return Object{}, ErrReturned
+	}
+	return o, err
 }
 
 func objectPath(key string) string {
@@ -126,46 +141,54 @@
 func (s *store) callObject(ctx context.Context, timeout time.Duration, method, path string, header http.Header, value []byte) (Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	resHeader, body, err := s.do(ctx, method, path, header, value)
+	res, body, err := s.do(ctx, method, path, header, value)
 	if err != nil {
-		return Object{}, err
+		return Object{
+			Version: res.version(0),
+		}, err
 	}
-	version, err := strconv.ParseUint(resHeader.Get("Version"), 10, 64)
+	n, err := strconv.ParseUint(res.header.Get("Version"), 10, numberBits)
 	if err != nil {
 		return Object{}, errors.Wrap(err, "read version")
 	}
 	return Object{
-		Key:     resHeader.Get("Object-Key"),
-		Version: version,
+		Key:     res.header.Get("Object-Key"),
+		Version: res.version(n),
 		Value:   body,
 	}, nil
 }
 
-func (s *store) do(ctx context.Context, method, path string, header http.Header, value []byte) (http.Header, []byte, error) {
+func (s *store) do(ctx context.Context, method, path string, header http.Header, value []byte) (response, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, s.url+path, bytes.NewReader(value))
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "build request")
+		return response{}, nil, errors.Wrap(err, "build request")
 	}
 	for k, v := range header {
 		req.Header[k] = v
 	}
 	res, err := s.client.Do(req)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "call store")
+		return response{}, nil, errors.Wrap(err, "call store")
 	}
 	defer func() { _ = res.Body.Close() }()
+	out := response{
+		header: res.Header,
+	}
+	if out.era, err = s.era.observe(res.Header.Get(headerEra)); err != nil {
+		return out, nil, err
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, 64*ValueMaxBytes))
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "read store answer")
+		return out, nil, errors.Wrap(err, "read store answer")
 	}
 	switch res.StatusCode {
 	case http.StatusOK:
-		return res.Header, body, nil
+		return out, body, nil
 	case http.StatusPreconditionFailed:
-		return nil, nil, ErrConflict
+		return out, nil, ErrConflict
 	case http.StatusNotFound, http.StatusNotModified:
-		return nil, nil, ErrNotFound
+		return out, nil, ErrNotFound
 	default:
-		return nil, nil, errors.Errorf("store: status %d", res.StatusCode)
+		return out, nil, errors.Errorf("store: status %d", res.StatusCode)
 	}
 }
--- a/internal/cluster/configurer/configurer.go
+++ b/internal/cluster/configurer/configurer.go
@@ -67,7 +67,7 @@
 		return err
 	}
 	if old := c.view.Load(); config.Revision < old.config.Revision {
-		return errors.Errorf("revision %d is below %d", config.Revision, old.config.Revision)
+		return errors.Wrapf(replicator.ErrOlder, "revision %d is below %d", config.Revision, old.config.Revision)
 	}
 	v := &view{
 		version: d.Version,
--- a/internal/cluster/heartbeater/heartbeater.go
+++ b/internal/cluster/heartbeater/heartbeater.go
@@ -62,6 +62,8 @@
 	Alone() bool
 	// SetState sets the node's own state and sends heartbeats to several members at once.
 	SetState(s chivegauge.MemberState)
+	// Active returns the active version of a document, or false if there is none.
+	Active(name string) (replicator.Document, bool)
 	// Publish applies a document; if it is newer, heartbeats are sent to a few members at once.
 	Publish(d replicator.Document) error
 	// Heartbeat, Probe and Fetch handle the calls of other nodes.
@@ -127,6 +129,11 @@
 	}
 }
 
+// Active returns the active version of a document.
+func (h *heartbeater) Active(name string) (replicator.Document, bool) {
+	return h.docs.Active(name)
+}
+
 // Publish applies a document and sends heartbeats to a few members if it is newer.
 func (h *heartbeater) Publish(d replicator.Document) error {
 	applied, err := h.docs.Update(d)
--- a/internal/cluster/replicator/replicator.go
+++ b/internal/cluster/replicator/replicator.go
@@ -15,6 +15,10 @@
 	Value   []byte
 }
 
+// ErrOlder is returned for a newer version of the store whose content is older than that of the active one: the store has
+// come back from an older copy.
+var ErrOlder = errors.New("the content is older than the active one")
+
 // ApplyFunc makes a newer version active, or returns an error to keep the current one.
 type ApplyFunc func(d Document) error
 
@@ -24,6 +28,8 @@
 	Register(name string, a ApplyFunc)
 	// Update applies a document if it is newer, and reports whether it became active; the error is that of its ApplyFunc.
 	Update(d Document) (bool, error)
+	// Active returns the active version of the document, or false if there is none.
+	Active(name string) (Document, bool)
 	// Versions returns the active version of each registered document, 0 for none, sorted by name.
 	Versions() []Document
 	// Newer returns the documents whose active version is newer than the given one.
@@ -55,7 +61,7 @@
 	r.applyFuncs[name] = a
 }
 
-// Update applies a newer document; a version that was refused is not applied again.
+// Update applies a newer document; a version that was refused is not applied again, unless its content was older.
 func (r *replicator) Update(d Document) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -64,7 +70,9 @@
 		return false, nil
 	}
 	if err := apply(d); err != nil {
-		r.refused[d.Name] = d.Version
+		if !errors.Is(err, ErrOlder) {
+			r.refused[d.Name] = d.Version
+		}
 		return false, errors.Wrapf(err, "refuse %s version %d", d.Name, d.Version)
 	}
 	asserter.Check(asserter.RevisionMonotonic, d.Version > r.current[d.Name].Version)
@@ -72,6 +80,14 @@
 	return true, nil
 }
 
+// Active returns the active version of the document.
+func (r *replicator) Active(name string) (Document, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, ok := r.current[name]
+	return d, ok
+}
+
 // Versions returns the active version of each registered document, sorted by name.
 func (r *replicator) Versions() []Document {
 	r.mu.Lock()
--- a/internal/cluster/watcher/watcher.go
+++ b/internal/cluster/watcher/watcher.go
@@ -23,6 +23,8 @@
 	Self() chivegauge.Member
 	Members() []chivegauge.Member
 	Publish(d replicator.Document) error
+	// Active returns the active version of a document, or false if there is none.
+	Active(name string) (replicator.Document, bool)
 }
 
 // Watcher keeps one document in sync with the store.
@@ -99,32 +101,54 @@
 	if err != nil {
 		return err
 	}
-	return w.publish(o)
+	return w.publish(ctx, o)
 }
 
-// Read reads the document once; a missing document is not an error.
+// Read reads the document once; a missing document is not an error, but written again if there is an active one.
 func (w *watcher) Read(ctx context.Context) error {
 	o, err := w.store.Get(ctx, w.name)
 	if errors.Is(err, storer.ErrNotFound) {
-		return nil
+		return w.restore(ctx, 0)
 	}
 	if err != nil {
 		return err
 	}
-	return w.publish(o)
+	return w.publish(ctx, o)
 }
 
-// publish distributes the document; an error is ignored, since an invalid version is skipped until the next one.
-func (w *watcher) publish(o storer.Object) error {
+// publish distributes the document; one with older content than the active one is replaced by that in the store. Other
+// errors are ignored, since an invalid version is skipped until the next one.
+func (w *watcher) publish(ctx context.Context, o storer.Object) error {
 	w.version = o.Version
-	_ = w.fleet.Publish(replicator.Document{
+	err := w.fleet.Publish(replicator.Document{
 		Name:    w.name,
 		Version: o.Version,
 		Value:   o.Value,
 	})
+	if errors.Is(err, replicator.ErrOlder) {
+		return w.restore(ctx, o.Version)
+	}
 	return nil
 }
 
+// restore writes the active version again where the store, which has come back from an older copy, holds another one. If
+// somebody else has written meanwhile, that comes with the next call.
+func (w *watcher) restore(ctx context.Context, version uint64) error {
+	active, ok := w.fleet.Active(w.name)
+	if !ok {
+		return nil
+	}
+	o, err := w.store.Put(ctx, w.name, active.Value, version)
+	if errors.Is(err, storer.ErrConflict) {
+		return nil
+	}
+	if err != nil {
+		w.version = 0 // the next call is a read, which leads here again
+		return err
+	}
+	return w.publish(ctx, o)
+}
+
 // IsWatcher reports whether the node is one of the watchers of the document in its zone.
 func IsWatcher(self chivegauge.Member, members []chivegauge.Member, name string) bool {
 	own := self.Weight(name)
--- a/internal/cluster/watcher/watcher_test.go
+++ b/internal/cluster/watcher/watcher_test.go
@@ -27,6 +27,9 @@
 
 func (f *fleet) Self() chivegauge.Member      { return chivegauge.Member{} }
 func (f *fleet) Members() []chivegauge.Member { return nil }
+func (f *fleet) Active(string) (replicator.Document, bool) {
+	return replicator.Document{}, false
+}
 
 func (f *fleet) Publish(d replicator.Document) error {
 	f.versions <- d.Version
--- a/internal/standin/storeserver/file.go
+++ b/internal/standin/storeserver/file.go
@@ -10,6 +10,7 @@
 // state is the content of the file that persists the store.
 type state struct {
 	Version uint64
+	Era     uint64
 	Objects map[string]object
 }
 
@@ -24,6 +25,7 @@
 		return
 	}
 	s.version = st.Version
+	s.era = max(1, st.Era)
 	s.objects = st.Objects
 }
 
@@ -34,6 +36,7 @@
 	}
 	b, err := json.Marshal(state{
 		Version: s.version,
+		Era:     s.era,
 		Objects: s.objects,
 	})
 	if err != nil {
--- a/internal/standin/storeserver/storeserver.go
+++ b/internal/standin/storeserver/storeserver.go
@@ -41,6 +41,7 @@
 	mu      sync.Mutex
 	objects map[string]object
 	version uint64
+	era     uint64
 	// changed is closed and replaced after each change.
 	changed chan struct{}
 	fault   Fault
@@ -52,6 +53,7 @@
 func New(file string) *StoreServer {
 	s := &StoreServer{
 		objects: map[string]object{},
+		era:     1,
 		changed: make(chan struct{}),
 		file:    file,
 	}
@@ -137,6 +139,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Lists++
+	s.nameEra(w)
 	list := []object{}
 	for k, o := range s.objects {
 		if strings.HasPrefix(k, prefix) {
@@ -154,12 +157,20 @@
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(waitMs)*time.Millisecond)
 	defer cancel()
 	s.count(waitMs > 0)
-	for {
+	for first := uint64(0); ; {
 		s.mu.Lock()
 		o, ok := s.objects[key]
 		changed := s.changed
 		down := s.fault.Down
+		era := s.era
+		s.nameEra(w)
 		s.mu.Unlock()
+		if first == 0 {
+			first = era
+		}
+		if era != first {
+			panic(http.ErrAbortHandler) // the store came back from an older copy meanwhile
+		}
 		if down {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
@@ -204,8 +215,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Writes++
+	s.nameEra(w)
 	o, ok := s.objects[key]
 	match, _ := strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
+	if era := r.Header.Get(headerEra); era != "" && era != strconv.FormatUint(s.era, 10) {
+		http.Error(w, "another era", http.StatusPreconditionFailed)
+		return
+	}
 	if (r.Header.Get("If-None-Match") == "*" && ok) || (match != 0 && o.Version != match) {
 		http.Error(w, "conflict", http.StatusPreconditionFailed)
 		return
@@ -228,6 +244,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Writes++
+	s.nameEra(w)
 	delete(s.objects, key)
 	s.version++
 	s.notify()
