Base plans on what was confirmed before a return of the store

Operators of chivegauge node: after the store had come back from an older copy, a plan was made on that copy, and its confirmation dropped changes that were confirmed before; and a plan made before the return could be confirmed on another configuration that has got the revision of the lost one.

Cause: the planner took what the store holds for the last confirmed configuration, and the number of a revision for its content.

Change: where this node's configuration is newer than the stored one, it is written again before a plan is made or confirmed. A plan names a digest of its base, and is stale on any other; plans of earlier programs have none.

--- a/internal/cluster/planner/plan.go
+++ b/internal/cluster/planner/plan.go
@@ -1,6 +1,9 @@
 package planner
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -12,11 +15,14 @@
 // Plan describes the changes of a list of intents, to be confirmed by the operator.
 type Plan struct {
 	BaseRevision uint64
-	ChangeID     string
-	Intents      []Intent
-	Changes      []string
-	Effects      []string
-	Warnings     []string
+	// BaseDigest tells the base from another configuration of its revision, which there may be once the store has come back
+	// from an older copy; it is empty in plans of earlier programs.
+	BaseDigest string `json:",omitempty"`
+	ChangeID   string
+	Intents    []Intent
+	Changes    []string
+	Effects    []string
+	Warnings   []string
 }
 
 // FleetStatus is the state and load of the members, from which the effects of a plan are estimated.
@@ -33,6 +39,9 @@
 
 // Error names the changes since the plan's base revision.
 func (e *StaleError) Error() string {
+	if e.Present == e.Base {
+		return fmt.Sprintf("revision %d is not the one that the plan was made on: the store has come back from an older copy since", e.Present)
+	}
 	s := fmt.Sprintf("the configuration is at revision %d, the plan was made on %d; since then:", e.Present, e.Base)
 	for _, a := range e.Since {
 		s += fmt.Sprintf(" [%d by %s: %s]", a.Revision, a.Operator, a.Summary)
@@ -47,9 +56,14 @@
 	if err != nil {
 		return Plan{}, err
 	}
+	base, err := digest(c)
+	if err != nil {
+		return Plan{}, err
+	}
 	effects, warnings := describeEffects(c, next, intents, m)
 	return Plan{
 		BaseRevision: c.Revision,
+		BaseDigest:   base,
 		ChangeID:     changeID,
 		Intents:      intents,
 		Changes:      changes,
@@ -58,6 +72,16 @@
 	}, nil
 }
 
+// digest returns a digest of the configuration.
+func digest(c chivegauge.Configuration) (string, error) {
+	b, err := json.Marshal(c)
+	if err != nil {
+		return "", errors.Wrap(err, "encode configuration")
+	}
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:]), nil
+}
+
 func applyAll(c chivegauge.Configuration, intents []Intent) (chivegauge.Configuration, []string, error) {
 	changes := make([]string, 0, len(intents))
 	for n, i := range intents {
@@ -76,7 +100,11 @@
 
 // Apply returns the configuration with the plan applied and an audit entry added, or a StaleError.
 func Apply(now time.Time, c chivegauge.Configuration, p Plan, operator string) (chivegauge.Configuration, error) {
-	if c.Revision != p.BaseRevision {
+	base, err := digest(c)
+	if err != nil {
+		return c, err
+	}
+	if c.Revision != p.BaseRevision || p.BaseDigest != "" && p.BaseDigest != base {
 		return c, newStaleError(c, p)
 	}
 	next, changes, err := applyAll(c, p.Intents)
--- a/internal/cluster/planner/planner.go
+++ b/internal/cluster/planner/planner.go
@@ -152,7 +152,30 @@
 	return 0, ErrOutcomeUnknown
 }
 
+// read returns the stored configuration. If the store has come back from an older copy than this node knows, the active
+// one is written again first.
 func (p *planner) read(ctx context.Context) (stored, error) {
+	st, err := p.get(ctx)
+	active := p.active()
+	if err != nil || st.unreadable != nil || st.config.Revision >= active.Revision {
+		return st, err
+	}
+	value, err := json.Marshal(active)
+	if err != nil {
+		return stored{}, errors.Wrap(err, "encode configuration")
+	}
+	o, err := p.store.Put(ctx, p.name, value, st.version)
+	if err != nil {
+		return stored{}, errors.Wrapf(ErrStore, "it is back from an older copy, and revision %d is not written again: %v", active.Revision, err)
+	}
+	return stored{
+		config:  active,
+		version: o.Version,
+	}, p.publish(o)
+}
+
+// get returns the configuration that the store holds.
+func (p *planner) get(ctx context.Context) (stored, error) {
 	o, err := p.store.Get(ctx, p.name)
 	if errors.Is(err, storer.ErrNotFound) {
 		return stored{}, nil
