Refuse an older allocation of rate slots

Callers of chivegauge node: after the store had come back from an older copy, a node opened rate slots that it had released to another one, which still had them open, so that their tokens could be spent twice until both had read the same document.

Cause: an allocation was applied whenever its version in the store was newer, whatever its own revision.

Change: an allocation with a lower revision than the active one is refused, as a configuration is, and the watchers write the active one again.

--- a/internal/cluster/reconciler/reconciler.go
+++ b/internal/cluster/reconciler/reconciler.go
@@ -121,12 +121,18 @@
 	return r.version > 0
 }
 
-// Apply applies a newer document.
+// Apply applies a newer document; one with an older allocation would give slots back to owners that released them.
 func (r *reconciler) Apply(d replicator.Document) error {
 	doc, err := chivegauge.DecodeSlots(d.Value)
 	if err != nil {
 		return err
 	}
+	r.mu.Lock()
+	active := r.doc.Revision
+	r.mu.Unlock()
+	if doc.Revision < active {
+		return errors.Wrapf(replicator.ErrOlder, "revision %d is below %d", doc.Revision, active)
+	}
 	r.applyDocument(doc, d.Version)
 	r.onApply()
 	return nil
