Wait for other nodes where the store has lost the record of this one

Cause: the copy had neither the withdrawal nor the records of the nodes, all of which had started within its age. By its log the node read version 3 at 06:00:11.020, took the empty list of nodes for whole and the store's word for proof, and got version 12 from another node 0.8 s later, once that had written its record again. Nodes that were restarted with it would have been asked, and would have answered as little.

Change: the first list counts as whole if it has a record of an earlier process of the node; otherwise 4 s later, which is longer than running nodes take to write their records again, or once a node with a recent verification has answered. Only such nodes count as answers. At the first start of a system (FirstStart) nobody waits.

TestSettledList checks when it does.

--- a/internal/app/assembler/assembler.go
+++ b/internal/app/assembler/assembler.go
@@ -89,6 +89,10 @@
 	// listStaleMax is longer than a stale list can lag behind a write.
 	listStaleMax = 10 * time.Second
 
+	// listSettleTime is longer than running nodes take to write records again that the store has lost: one listPeriod with
+	// its jitter, and the calls.
+	listSettleTime = 2 * listPeriod
+
 	headerMaxBytes = 64 << 10
 	bodyMaxBytes   = 64 << 20
 	headerTimeout  = 10 * time.Second
@@ -176,6 +180,10 @@
 	own := registrar.Record{
 		Member: s.Member.WithIncarnation(chivegauge.FirstIncarnation(timekeeper.Now().UnixMilli())),
 	}
+	settleTime := listSettleTime
+	if s.FirstStart {
+		settleTime = 0
+	}
 	n.members = registrar.New(registrar.Config{
 		Timeout:       storeTimeout,
 		NotifyTimeout: dialTimeout,
@@ -183,6 +191,7 @@
 		StartupPeriod: listStartupPeriod,
 		StartupTime:   listStartupTime,
 		StaleMax:      listStaleMax,
+		SettleTime:    settleTime,
 		RetryMax:      storeRetryMax,
 		Describe:      n.describe,
 	}, stores.Records, c, own, n.log)
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -56,6 +56,9 @@
 	// StaleMax is how long after a write a stale list may still miss it.
 	StaleMax time.Duration
 
+	// SettleTime is how long other nodes take to write their records again after the store has lost them.
+	SettleTime time.Duration
+
 	// RetryMax is the longest backoff after a failed call.
 	RetryMax time.Duration
 
@@ -69,6 +72,8 @@
 	Serve(ctx context.Context) error
 	// Synced reports whether the list has been read at least once.
 	Synced() bool
+	// Settled reports whether the list can be taken for whole.
+	Settled() bool
 	// Self returns this node.
 	Self() chivegauge.Member
 	// Service returns the nodes whose backend servers serve the service.
@@ -107,7 +112,7 @@
 	onDeparture []func(rec Record)
 	byService   atomic.Pointer[map[string][]chivegauge.Member]
 	alive       atomic.Pointer[[]chivegauge.Member]
-	synced      atomic.Bool
+	syncedAt    atomic.Pointer[time.Time]
 	group       sync.WaitGroup
 	writeMu     sync.Mutex
 
@@ -146,7 +151,20 @@
 
 // Synced reports whether the list has been read at least once.
 func (r *registrar) Synced() bool {
-	return r.synced.Load()
+	return r.syncedAt.Load() != nil
+}
+
+// Settled reports whether the list can be taken for whole: when it was first read, it had a record of an earlier process of
+// this node, or that is SettleTime ago. A store that has come back from an older copy may have lost that record and those of
+// other nodes.
+func (r *registrar) Settled() bool {
+	at := r.syncedAt.Load()
+	if at == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.previous != nil || time.Since(*at) >= r.cfg.SettleTime
 }
 
 // Self returns this node.
@@ -223,7 +241,8 @@
 	if !first {
 		return r.repair(ctx, view)
 	}
-	r.synced.Store(true)
+	now := time.Now()
+	r.syncedAt.Store(&now)
 	return r.Update(ctx, func(rec Record) Record { return r.cfg.Describe(r.supersedePrevious(rec)) })
 }
 
--- a/internal/cluster/registrar/registrar_test.go
+++ b/internal/cluster/registrar/registrar_test.go
@@ -28,9 +28,10 @@
 
 // fleet is a set of nodes that notify each other of changes.
 type fleet struct {
-	store *store
-	mu    sync.Mutex
-	nodes map[string]registrar.Registrar
+	store      *store
+	settleTime time.Duration
+	mu         sync.Mutex
+	nodes      map[string]registrar.Registrar
 
 	// departures receives the records that tell a node of a departure that its earlier process acknowledged.
 	departures chan registrar.Record
@@ -84,6 +85,7 @@
 		StartupTime:   time.Second,
 		RetryMax:      20 * time.Millisecond,
 		StaleMax:      staleMax,
+		SettleTime:    f.settleTime,
 		Describe:      func(rec registrar.Record) registrar.Record { return rec },
 	}, f.store, f, r, zerolog.New(io.Discard))
 	n.SubscribeDepartures(func(rec registrar.Record) {
--- a/internal/cluster/registrar/return_test.go
+++ b/internal/cluster/registrar/return_test.go
@@ -45,3 +45,33 @@
 		})
 	}
 }
+
+// TestSettledList guards against a restarted node that takes its list of nodes for whole although the store has lost
+// records, as it has that of the earlier process of the node.
+func TestSettledList(t *testing.T) {
+	const settleTime = 300 * time.Millisecond
+	tests := map[string]struct {
+		stored  string
+		settled time.Duration
+	}{
+		"nobody":                  {settled: settleTime},
+		"another node":            {stored: nodeB, settled: settleTime},
+		"an earlier process here": {stored: nodeA},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet()
+			f.settleTime = settleTime
+			if tt.stored != "" {
+				f.store.records[tt.stored] = record(tt.stored, 1)
+			}
+			n := f.start(t, record(nodeA, 2))
+			started := time.Now()
+			eventually(t, "the list to be settled", n.Settled)
+			is.True(n.Synced())
+			is.True(time.Since(started) >= tt.settled)
+			is.True(time.Since(started) < tt.settled+settleTime/2)
+		})
+	}
+}
--- a/internal/cluster/syncer/peers.go
+++ b/internal/cluster/syncer/peers.go
@@ -19,10 +19,10 @@
 	// randomPeersMax limits the polls of a node after a failed read: while nobody reaches the source, all nodes send them.
 	randomPeersMax = 4
 
-	// compareWait is how long a node that has just started waits for its list of nodes before it watches the source without
-	// having compared its configuration, and compareCheckTime how often it looks for the list.
-	compareWait      = 400 * time.Millisecond
-	compareCheckTime = 5 * time.Millisecond
+	// settleWait is how long a node that has just started waits for its list of nodes before it watches the source without
+	// having compared its configuration, and settleCheckTime how often it looks for the list.
+	settleWait      = 400 * time.Millisecond
+	settleCheckTime = 5 * time.Millisecond
 )
 
 // Poll asks another node for a version or a verification that is newer than those of the polling node; the other node
@@ -45,8 +45,8 @@
 type Members interface {
 	Self() chivegauge.Member
 	Alive() []chivegauge.Member
-	// Synced reports whether the list has been read since this node started.
-	Synced() bool
+	// Settled reports whether the list can be taken for whole, as far as this node can know.
+	Settled() bool
 }
 
 // PeerClient polls other nodes.
@@ -103,41 +103,54 @@
 	}
 }
 
-// isCompared reports whether other nodes were asked for a newer configuration in this era of the source.
-func (s *syncer) isCompared() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.compared
-}
-
-// compare polls up to randomPeersMax random nodes at the same time for a newer configuration, unless that was done in this
+// compare asks other nodes for a newer configuration, until randomPeersMax with a recent verification have answered in this
 // era of the source, and reports whether a call to the source proves something. A source that has come back from an older
-// copy may lack the newest configuration, and this node may never have had it: it was cut off, or has just started. Such a
-// node waits for its first list of nodes before, for compareWait at most. The list may have lost nodes, too: while there
-// are none, the source's word counts, and those that come are asked.
+// copy may lack the newest configuration, and this node may never have had it: it was cut off, or has just started. It may
+// lack nodes, too, so that those which come later are asked. A node that has just started waits for the first answer or for
+// its list of nodes, for settleWait at most.
 func (s *syncer) compare(ctx context.Context) bool {
-	if s.isCompared() {
-		return true
-	}
-	for began := s.Now(); !s.Members.Synced(); timekeeper.Sleep(ctx, compareCheckTime) {
-		if ctx.Err() != nil || s.Now().Sub(began) >= compareWait {
+	for began := s.Now(); ; timekeeper.Sleep(ctx, settleCheckTime) {
+		s.askOthers(ctx)
+		switch {
+		case s.settled():
+			return true
+		case ctx.Err() != nil || s.Now().Sub(began) >= settleWait:
 			return false
 		}
 	}
-	all := func(chivegauge.Member) bool { return false } // one that was unreachable may have come back with the source
-	peers := s.randomPeers(randomPeersMax, all)
-	if len(peers) == 0 {
-		return true
-	}
+}
+
+// settled reports whether another node has answered, or the list of nodes can be taken for whole.
+func (s *syncer) settled() bool {
+	s.mu.Lock()
+	answers := s.answers
+	s.mu.Unlock()
+	return answers > 0 || s.Members.Settled()
+}
+
+// askOthers polls the uncompared nodes at the same time.
+func (s *syncer) askOthers(ctx context.Context) {
 	group := sync.WaitGroup{}
-	for _, m := range peers {
-		group.Go(func() { _, _, _ = s.exchange(ctx, m, 0) })
+	for _, m := range s.uncompared() {
+		group.Go(func() {
+			result, _, _ := s.exchange(ctx, m, 0)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.asked[m.Address] = true
+			if result == pollRecent {
+				s.answers++
+			}
+		})
 	}
 	group.Wait()
+}
+
+// uncompared returns random nodes that were not asked for a newer configuration in this era, as many as have to answer yet.
+// It doesn't leave out those whose polls failed before: what cut them off may have ended with the source's return.
+func (s *syncer) uncompared() []chivegauge.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.compared = true
-	return true
+	return s.randomPeers(randomPeersMax-s.answers, func(m chivegauge.Member) bool { return s.asked[m.Address] })
 }
 
 // zoneReader returns the node that reads the source for the zone of this node, or false if that is this node.
@@ -159,7 +172,7 @@
 	self := s.Members.Self()
 	var list []chivegauge.Member
 	for _, m := range s.Members.Alive() {
-		if m.Address != self.Address && !skip(m) {
+		if n > 0 && m.Address != self.Address && !skip(m) {
 			list = append(list, m)
 		}
 	}
--- a/internal/cluster/syncer/return_test.go
+++ b/internal/cluster/syncer/return_test.go
@@ -112,14 +112,14 @@
 	})
 }
 
-// newNode returns a node of the zone that has not started yet; it has a list of nodes from syncedAt
+// newNode returns a node of the zone that has not started yet; it has a list of nodes from settledAt
 // on, which has the other nodes from knownAt on.
-func (z *zone) newNode(s *source, m chivegauge.Member, cfg syncer.Config, log io.Writer, syncedAt, knownAt time.Time) syncer.Syncer {
+func (z *zone) newNode(s *source, m chivegauge.Member, cfg syncer.Config, log io.Writer, settledAt, knownAt time.Time) syncer.Syncer {
 	node := nodeMembers{
-		zone:     z,
-		self:     m,
-		syncedAt: syncedAt,
-		knownAt:  knownAt,
+		zone:      z,
+		self:      m,
+		settledAt: settledAt,
+		knownAt:   knownAt,
 	}
 	return syncer.New(cfg, syncer.Parts{
 		Now: time.Now,
--- a/internal/cluster/syncer/syncer.go
+++ b/internal/cluster/syncer/syncer.go
@@ -94,8 +94,10 @@
 	// sourceVersion is the version of the configuration that the source holds, by the last call to it.
 	sourceVersion uint64
 
-	// compared is set once other nodes were asked for a newer configuration in this era: the source may have lost it.
-	compared bool
+	// asked are the nodes that were asked for a newer configuration in this era, which the source may have lost, and answers
+	// is how many of them had a recent verification.
+	asked   map[string]bool
+	answers int
 
 	failing  bool
 	document router.Document
@@ -111,6 +113,7 @@
 		Parts:     p,
 		updated:   make(chan struct{}),
 		skipUntil: map[string]time.Time{},
+		asked:     map[string]bool{},
 	}
 	s.Configure(cfg)
 	return s
@@ -212,7 +215,7 @@
 			call:   call,
 			sentAt: sent,
 		}
-		if s.isCompared() {
+		if s.settled() && len(s.uncompared()) == 0 {
 			from.verifiedAt = sent
 		}
 		s.apply(*result.Document, from)
@@ -237,7 +240,8 @@
 	if result.Era != s.era {
 		s.era = result.Era
 		s.awaited = 0
-		s.compared = false
+		s.asked = map[string]bool{}
+		s.answers = 0
 	}
 	s.revision = result.Revision
 	switch {
--- a/internal/cluster/syncer/syncer_test.go
+++ b/internal/cluster/syncer/syncer_test.go
@@ -176,13 +176,13 @@
 // nodeMembers is the set of nodes as seen by one of them.
 type nodeMembers struct {
 	*zone
-	self     chivegauge.Member
-	syncedAt time.Time
-	knownAt  time.Time
+	self      chivegauge.Member
+	settledAt time.Time
+	knownAt   time.Time
 }
 
 func (n nodeMembers) Self() chivegauge.Member { return n.self }
-func (n nodeMembers) Synced() bool            { return !time.Now().Before(n.syncedAt) }
+func (n nodeMembers) Settled() bool           { return !time.Now().Before(n.settledAt) }
 
 func (n nodeMembers) Alive() []chivegauge.Member {
 	if time.Now().Before(n.knownAt) {
