Announce a node again when the store has lost its announcement

Callers of chivegauge node: a request with an idempotency key could run a second time. The process that replaced a killed node found no announcement of it, took it for one that had handed its keys over, and served them.

Cause: an announcement that was acknowledged was taken for there until the next refresh, 10 minutes by default, also after the store had come back from a copy without it.

Change: the announcement counts in its era. Where a later one is seen, it is written again within 4 s, at a random time, as all nodes learn of a return at nearly the same time. Nodes that seldom call the store learn of the era by the versions of documents that others send.

--- a/internal/app/supervisor/parts.go
+++ b/internal/app/supervisor/parts.go
@@ -86,7 +86,11 @@
 		keyRetention: loader.Millis(s.Limits.KeyRetainMs),
 	}
 	docs := replicator.New()
-	docs.Register(configurer.DocumentName, p.config.Apply)
+	docs.Register(configurer.DocumentName, func(d replicator.Document) error {
+		// A node that seldom calls the store learns from the others that it has come back from an older copy.
+		p.store.LearnEra(d.Version)
+		return p.config.Apply(d)
+	})
 	p.fleet = newFleet(s, p.dialer, docs, p.executor.Load, log)
 	refresh := loader.Millis(s.Store.RefreshMs)
 	p.announcer = announcer.New(p.store, p.fleet, refresh, p.onPredecessorExit)
--- a/internal/base/storer/era.go
+++ b/internal/base/storer/era.go
@@ -68,3 +68,15 @@
 	defer t.mu.Unlock()
 	return t.max
 }
+
+// LearnEra takes over the era of a version that another node has read.
+func (s *store) LearnEra(version uint64) {
+	s.era.mu.Lock()
+	defer s.era.mu.Unlock()
+	s.era.max = max(s.era.max, era(version))
+}
+
+// Outdated reports whether the version is of an earlier era.
+func (s *store) Outdated(version uint64) bool {
+	return era(version) < s.era.highest()
+}
--- a/internal/base/storer/storer.go
+++ b/internal/base/storer/storer.go
@@ -43,6 +43,10 @@
 	Delete(ctx context.Context, key string) error
 	List(ctx context.Context, prefix string) ([]Object, error)
 	Watch(ctx context.Context, key string, after uint64) (Object, error)
+	// LearnEra takes over the era of a version that another node has read.
+	LearnEra(version uint64)
+	// Outdated reports whether the version is of an earlier era, so that the store may have lost it.
+	Outdated(version uint64) bool
 }
 
 type store struct {
--- a/internal/cluster/announcer/announcer.go
+++ b/internal/cluster/announcer/announcer.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/chivegauge/chivegauge"
 	"github.com/chivegauge/chivegauge/internal/base/storer"
+	"github.com/chivegauge/chivegauge/internal/base/timekeeper"
 	"github.com/go-faster/errors"
 )
 
@@ -14,6 +16,11 @@
 	prefix     = "nodes/"
 	retryFirst = 500 * time.Millisecond
 	retryMax   = 15 * time.Second
+
+	// checkPeriod is the time between two checks whether the store may have lost the announcement, and returnJitter the
+	// longest time until it is written again then: all nodes notice the return of a store at nearly the same time.
+	checkPeriod  = time.Second
+	returnJitter = 4 * time.Second
 )
 
 // Membership provides the member to announce, and merges the members that other nodes announced.
@@ -41,6 +48,9 @@
 	refresh  time.Duration
 	onExit   ExitListener
 	reported bool
+
+	// version is that of the announcement, 0 if there is none yet.
+	version uint64
 }
 
 // New returns an announcer that writes the announcement once in each refresh period.
@@ -53,7 +63,7 @@
 	}
 }
 
-// Serve writes the announcement periodically, and reads those of other nodes as long as no other live member is known.
+// Serve writes the announcement periodically and after each return of the store from an older copy, and reads those of other nodes as long as no other live member is known.
 func (a *announcer) Serve(ctx context.Context) error {
 	backoff := retryFirst
 	for {
@@ -67,14 +77,25 @@
 		if a.members.Alone() {
 			wait = min(wait, retryMax)
 		}
-		select {
-		case <-ctx.Done():
+		a.sleep(ctx, wait)
+		if ctx.Err() != nil {
 			return ctx.Err()
-		case <-time.After(wait):
 		}
 	}
 }
 
+// sleep waits for the duration, or until a random time after the store has come back from an older copy.
+func (a *announcer) sleep(ctx context.Context, d time.Duration) {
+	returned := false
+	for end := timekeeper.Now().Add(d); ctx.Err() == nil && timekeeper.Now().Before(end); {
+		if a.version != 0 && !returned && a.store.Outdated(a.version) {
+			returned = true
+			end = timekeeper.Now().Add(rand.N(returnJitter))
+		}
+		timekeeper.Sleep(ctx, min(checkPeriod, end.Sub(timekeeper.Now())))
+	}
+}
+
 func (a *announcer) round(ctx context.Context) error {
 	if err := a.announce(ctx); err != nil {
 		return err
@@ -113,9 +134,11 @@
 	default:
 		return errors.Wrap(err, "read announcement")
 	}
-	if _, err := a.store.Put(ctx, prefix+self.Address, value, version); err != nil {
+	written, err := a.store.Put(ctx, prefix+self.Address, value, version)
+	if err != nil {
 		return errors.Wrap(err, "write announcement")
 	}
+	a.version = written.Version
 	return nil
 }
 
