--- a/internal/cluster/syncer/peers.go
+++ b/internal/cluster/syncer/peers.go
@@ -120,6 +120,11 @@
 	}
 }
 
+// isCompared reports whether compare has nothing to ask and nothing to wait for.
+func (s *syncer) isCompared() bool {
+	return s.settled() && len(s.uncompared()) == 0
+}
+
 // settled reports whether another node has answered, or the list of nodes can be taken for whole.
 func (s *syncer) settled() bool {
 	s.mu.Lock()
@@ -169,10 +174,13 @@
 
 // randomPeers returns up to n random nodes of all zones, without those that the function leaves out.
 func (s *syncer) randomPeers(n int, skip func(m chivegauge.Member) bool) []chivegauge.Member {
+	if n <= 0 {
+		return nil
+	}
 	self := s.Members.Self()
 	var list []chivegauge.Member
 	for _, m := range s.Members.Alive() {
-		if n > 0 && m.Address != self.Address && !skip(m) {
+		if m.Address != self.Address && !skip(m) {
 			list = append(list, m)
 		}
 	}
--- a/internal/cluster/syncer/syncer.go
+++ b/internal/cluster/syncer/syncer.go
@@ -215,7 +215,7 @@
 			call:   call,
 			sentAt: sent,
 		}
-		if s.settled() && len(s.uncompared()) == 0 {
+		if s.isCompared() {
 			from.verifiedAt = sent
 		}
 		s.apply(*result.Document, from)
