Ask further nodes while none with a recent verification answers

Cause: by the log the node read version 3 at 06:53:28.917, asked four random nodes, all of which had been restarted with it, and took the store's word for proof in the same call. It asked the fifth, which had version 6, with its next call, 0.4 s later.

Change: the store's word is proof once a node with a recent verification has answered, or nobody is left to ask. After four nodes in vain the rest is asked at the same time, 32 at most, so that a start in a cluster of any size costs 32 polls at most, and one time-out more where all others are dark.

--- a/internal/cluster/syncer/peers.go
+++ b/internal/cluster/syncer/peers.go
@@ -19,6 +19,9 @@
 	// randomPeersMax limits the polls of a node after a failed read: while nobody reaches the source, all nodes send them.
 	randomPeersMax = 4
 
+	// comparedMax limits the nodes that are asked for a newer configuration while none with a recent verification answers.
+	comparedMax = 32
+
 	// settleWait is how long a node that has just started waits for its list of nodes before it watches the source without
 	// having compared its configuration, and settleCheckTime how often it looks for the list.
 	settleWait      = 400 * time.Millisecond
@@ -112,7 +115,7 @@
 	for began := s.Now(); ; timekeeper.Sleep(ctx, settleCheckTime) {
 		s.askOthers(ctx)
 		switch {
-		case s.settled():
+		case s.answered() || s.isCompared():
 			return true
 		case ctx.Err() != nil || s.Now().Sub(began) >= settleWait:
 			return false
@@ -120,17 +123,16 @@
 	}
 }
 
-// isCompared reports whether compare has nothing to ask and nothing to wait for.
+// isCompared reports whether nobody is left to ask, and the list of nodes can be taken for whole.
 func (s *syncer) isCompared() bool {
-	return s.settled() && len(s.uncompared()) == 0
+	return (s.answered() || s.Members.Settled()) && len(s.uncompared()) == 0
 }
 
-// settled reports whether another node has answered, or the list of nodes can be taken for whole.
-func (s *syncer) settled() bool {
+// answered reports whether a node with a recent verification has answered.
+func (s *syncer) answered() bool {
 	s.mu.Lock()
-	answers := s.answers
-	s.mu.Unlock()
-	return answers > 0 || s.Members.Settled()
+	defer s.mu.Unlock()
+	return s.answers > 0
 }
 
 // askOthers polls the uncompared nodes at the same time.
@@ -150,12 +152,17 @@
 	group.Wait()
 }
 
-// uncompared returns random nodes that were not asked for a newer configuration in this era, as many as have to answer yet.
-// It doesn't leave out those whose polls failed before: what cut them off may have ended with the source's return.
+// uncompared returns random nodes that were not asked for a newer configuration in this era: as many as have to answer yet,
+// and once so many were asked in vain, as many as may be asked. It doesn't leave out those whose polls failed before: what
+// cut them off may have ended with the source's return.
 func (s *syncer) uncompared() []chivegauge.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.randomPeers(randomPeersMax-s.answers, func(m chivegauge.Member) bool { return s.asked[m.Address] })
+	n := randomPeersMax - s.answers
+	if s.answers == 0 && len(s.asked) >= randomPeersMax {
+		n = comparedMax - len(s.asked)
+	}
+	return s.randomPeers(n, func(m chivegauge.Member) bool { return s.asked[m.Address] })
 }
 
 // zoneReader returns the node that reads the source for the zone of this node, or false if that is this node.
--- a/internal/cluster/syncer/return_test.go
+++ b/internal/cluster/syncer/return_test.go
@@ -112,6 +112,36 @@
 	})
 }
 
+// TestOnlyOneNodeKnowsTheNewerVersion guards against a restarted node that believes the source before it has asked the one
+// node which was not restarted with it.
+func TestOnlyOneNodeKnowsTheNewerVersion(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSource()
+		z := startWith(t, s, nodeConfig(), io.Discard, names...)
+		s.put(2)
+		z.waitFor(t, "next version", hasVersion(2))
+		time.Sleep(2 * time.Second)
+		s.comeBack(1, s.revision-1)
+		returned := time.Now()
+		for _, name := range names[1:] {
+			z.stops[name]()
+		}
+		time.Sleep(5 * time.Millisecond)
+		for _, name := range names[1:] {
+			z.restart(t, s, name, 0, 0)
+		}
+		for time.Since(returned) < changeTime {
+			for _, f := range z.nodes {
+				is.True(hasVersion(2)(f) || f.Age() >= time.Since(returned))
+			}
+			time.Sleep(time.Millisecond)
+		}
+		z.waitFor(t, "next version", hasVersion(2))
+	})
+}
+
 // newNode returns a node of the zone that has not started yet; it has a list of nodes from settledAt
 // on, which has the other nodes from knownAt on.
 func (z *zone) newNode(s *source, m chivegauge.Member, cfg syncer.Config, log io.Writer, settledAt, knownAt time.Time) syncer.Syncer {
