--- /dev/null
+++ b/review/standins-3/case_poison.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// contact and retriesMax are the bounds of the rule: the time after the third crash, and the retries after it that
+	// reach backend servers.
+	contact    = 3 * time.Second
+	retriesMax = 3
+
+	poisonInterval = time.Second
+)
+
+// poison watches the arrivals of the request that crashes backend servers.
+type poison struct {
+	e  *environment
+	mu sync.Mutex
+
+	// arrivals are the times at which a backend server began to run it, and crashed.
+	arrivals []time.Time
+}
+
+func (p *poison) onRun(m *machine, r *http.Request, body []byte) {
+	if !bytes.HasPrefix(body, []byte(poisonMark)) {
+		return
+	}
+	p.mu.Lock()
+	p.arrivals = append(p.arrivals, time.Now())
+	n := len(p.arrivals)
+	p.mu.Unlock()
+	p.e.record("backend %s runs %s %s (%s, %d bytes) and crashes: crash %d", m.ip, r.Method, r.URL.Path, r.Header.Get(headerAttempt), len(body), n)
+}
+
+// crashes returns the number of crashes so far.
+func (p *poison) crashes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.arrivals)
+}
+
+// held reports whether no more retries than allowed reached a backend server once contact had passed since the third
+// crash.
+func (p *poison) held() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	late := 0
+	for _, at := range p.arrivals {
+		if len(p.arrivals) >= 3 && at.Sub(p.arrivals[2]) > contact {
+			late++
+		}
+	}
+	p.e.record("%d crashes; %d retries reached a backend server later than %v after the third, %d are allowed", len(p.arrivals), late, contact, retriesMax)
+	return late <= retriesMax
+}
+
+// repeat sends the request again and again, at one machine after the other, until the time is over.
+func (p *poison) repeat(q request, d time.Duration) {
+	for n, end := 0, time.Now().Add(d); time.Now().Before(end); n++ {
+		m := p.e.machines[n%len(p.e.machines)]
+		a := send(context.Background(), m, q)
+		p.e.record("client at %s sent the request that crashes as %s: status %d", m.ip, a.id, a.status)
+		time.Sleep(poisonInterval)
+	}
+}
+
+// answerOK answers with a small body.
+func answerOK(w http.ResponseWriter, r *http.Request, _ []byte) {
+	time.Sleep(20 * time.Millisecond)
+	_, _ = fmt.Fprintf(w, "done %s", r.Header.Get(headerAttempt))
+}
+
+// load sends harmless requests of the size to the path from all machines until the context ends, and returns a function
+// that waits for its end and records the outcome.
+func load(ctx context.Context, e *environment, path string, size int) func() {
+	group := sync.WaitGroup{}
+	mu := sync.Mutex{}
+	statuses := map[int]int{}
+	for _, m := range e.machines {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for n := 0; ctx.Err() == nil; n++ {
+				body := bytes.Repeat([]byte(strconv.Itoa(n%10)), size)
+				a := send(context.Background(), m, request{method: http.MethodPost, path: path, body: body, limit: 2 * time.Second})
+				mu.Lock()
+				statuses[a.status]++
+				mu.Unlock()
+				time.Sleep(200 * time.Millisecond)
+			}
+		}()
+	}
+	return func() {
+		group.Wait()
+		e.record("harmless requests by status (0 is none): %v", statuses)
+	}
+}
+
+func newPoisonFleet(e *environment) (*poison, error) {
+	for range 5 {
+		e.addMachine("orders")
+	}
+	p := &poison{e: e}
+	return p, e.startAll(func(m *machine) (*backend, error) { return startBackend(e, m, answerOK, p.onRun) }, "/read/probe")
+}
+
+var readRoute = route{name: "r-read", prefix: "/read/", kind: "idempotent", timeout: 2 * time.Second, service: "orders", attempts: 2}
+
+// playLarge sends a request that crashes backend servers, beside other requests to the same path. SIZE is the size of the
+// bodies of both, by default 100 KB.
+func playLarge(e *environment, trouble bool) (bool, error) {
+	size := 100_000
+	if n, err := strconv.Atoi(os.Getenv("SIZE")); err == nil {
+		size = n
+	}
+	e.configure(1, readRoute, route{name: "r-upload", prefix: "/upload/", kind: "non_idempotent", timeout: 2 * time.Second, service: "orders", attempts: 1})
+	p, err := newPoisonFleet(e)
+	if err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	wait := load(ctx, e, "/upload/orders", size)
+	q := request{method: http.MethodPost, path: "/upload/orders", body: append([]byte(poisonMark), bytes.Repeat([]byte("x"), size)...), limit: 2 * time.Second}
+	if !trouble {
+		q.body = q.body[len(poisonMark):]
+	}
+	p.repeat(q, 45*time.Second)
+	cancel()
+	wait()
+	return p.held(), e.running()
+}
+
+// playSplit sends a request that crashes backend servers, and splits its route after the third crash.
+func playSplit(e *environment, trouble bool) (bool, error) {
+	orders := route{name: "r-orders", prefix: "/orders/", kind: "non_idempotent", timeout: 2 * time.Second, service: "orders", attempts: 1}
+	print := route{name: "r-print", prefix: "/orders/print/", kind: "non_idempotent", timeout: 2 * time.Second, service: "orders", attempts: 1}
+	e.configure(1, readRoute, orders)
+	p, err := newPoisonFleet(e)
+	if err != nil {
+		return false, err
+	}
+	q := request{method: http.MethodPost, path: "/orders/print/7", body: []byte(poisonMark + " order"), limit: 2 * time.Second}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.repeat(q, 60*time.Second)
+	}()
+	for start := time.Now(); p.crashes() < 3; time.Sleep(50 * time.Millisecond) {
+		if time.Since(start) > 30*time.Second {
+			return false, fmt.Errorf("%d crashes", p.crashes())
+		}
+	}
+	time.Sleep(contact + time.Second)
+	if trouble {
+		e.configure(2, readRoute, orders, print)
+	}
+	<-done
+	return p.held(), e.running()
+}
