--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -21,6 +21,8 @@
 type scenario func(e *environment, trouble bool) (held bool, err error)
 
 var scenarios = map[string]scenario{
+	"blank":   playBlank,
+	"broken":  playBroken,
 	"endless": playEndless,
 	"large":   playLarge,
 	"split":   playSplit,
@@ -33,7 +35,7 @@
 // run expects the name of the case, the path of the program and that of the record.
 func run() int {
 	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standins-3 endless|large|split PROGRAM RECORD")
+		fmt.Fprintln(os.Stderr, "usage: standins-3 blank|broken|endless|large|split PROGRAM RECORD")
 		return exitCouldNot
 	}
 	e, err := newEnvironment(os.Args[2], os.Args[3])
