--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases from 11 on into target/.
+# Builds the stand-ins of the cases from 11 on into target/; needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/standins-3"
-mkdir -p ../../target
-go build -o ../../target/review-standins-3 .
+GOFLAGS=-mod=mod GOPROXY=off go build -o ../../target/review-3/review-3 .
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -1,4 +1,4 @@
-// Command standins-3 plays one case of the review: it starts nodes as processes of their own, beside stand-ins for the
+// Command review-3 plays one case of the review: it starts nodes as processes of their own, beside stand-ins for the
 // store, the backend servers and the clients, and checks one rule.
 package main
 
@@ -35,7 +35,7 @@
 // run expects the name of the case, the path of the program and that of the record.
 func run() int {
 	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standins-3 blank|broken|endless|large|split PROGRAM RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-3 blank|broken|endless|large|split PROGRAM RECORD")
 		return exitCouldNot
 	}
 	e, err := newEnvironment(os.Args[2], os.Args[3])
