--- a/review/standins-3/backend.go
+++ b/review/standins-3/backend.go
@@ -23,7 +23,7 @@
 	slots          = 32
 	pingInterval   = 1500 * time.Millisecond
 	pingTimeout    = time.Second
-	restartDelay   = 2 * time.Second
+	restartDelay   = 4 * time.Second
 	poisonMark     = "poison"
 	keepAliveAfter = 10 * time.Second
 )
--- a/review/standins-3/case_poison.go
+++ b/review/standins-3/case_poison.go
@@ -12,53 +12,74 @@
 )
 
 const (
-	// contact and retriesMax are the bounds of the rule: the time after the third crash, and the retries after it that
-	// reach backend servers.
+	// contact and retriesMax are the bounds of the rule: the time after the third backend crashed, and the retries sent
+	// later that reach backend servers.
 	contact    = 3 * time.Second
 	retriesMax = 3
 
 	poisonInterval = time.Second
 )
 
-// poison watches the arrivals of the request that crashes backend servers.
+// poison watches a request that crashes backend servers.
 type poison struct {
 	e  *environment
 	mu sync.Mutex
 
-	// arrivals are the times at which a backend server began to run it, and crashed.
-	arrivals []time.Time
+	// crashes are the runs of the request, each of which crashes its backend server, and sentAt the time at which each
+	// attempt was sent.
+	crashes []crash
+	sentAt  map[string]time.Time
+}
+
+// crash is one run of the request.
+type crash struct {
+	at      time.Time
+	machine string
+	attempt string
 }
 
 func (p *poison) onRun(m *machine, r *http.Request, body []byte) {
+	id := r.Header.Get(headerAttempt)
 	if !bytes.HasPrefix(body, []byte(poisonMark)) {
+		p.e.record("backend %s runs %s %s %s (%d bytes)", m.ip, id, r.Method, r.URL.Path, len(body))
 		return
 	}
 	p.mu.Lock()
-	p.arrivals = append(p.arrivals, time.Now())
-	n := len(p.arrivals)
-	p.mu.Unlock()
-	p.e.record("backend %s runs %s %s (%s, %d bytes) and crashes: crash %d", m.ip, r.Method, r.URL.Path, r.Header.Get(headerAttempt), len(body), n)
+	defer p.mu.Unlock()
+	p.crashes = append(p.crashes, crash{at: time.Now(), machine: m.ip, attempt: id})
+	p.e.record("backend %s runs %s %s %s (%d bytes, called by %s) and crashes: crash %d", m.ip, id, r.Method, r.URL.Path, len(body),
+		r.Header.Get("X-Chivegauge-Caller-Service"), len(p.crashes))
 }
 
-// crashes returns the number of crashes so far.
-func (p *poison) crashes() int {
+// thirdCrash returns the time at which the third backend server crashed, or zero; a backend server that crashed, started
+// again and crashed again counts once.
+func (p *poison) thirdCrash() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.arrivals)
+	crashed := map[string]bool{}
+	for _, c := range p.crashes {
+		crashed[c.machine] = true
+		if len(crashed) == 3 {
+			return c.at
+		}
+	}
+	return time.Time{}
 }
 
-// held reports whether no more retries than allowed reached a backend server once contact had passed since the third
-// crash.
+// held reports whether no more retries than allowed, of those that were sent later than contact after the third backend
+// server had crashed, reached one. All machines are in touch: nothing is done to them or to the store.
 func (p *poison) held() bool {
+	third := p.thirdCrash()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	late := 0
-	for _, at := range p.arrivals {
-		if len(p.arrivals) >= 3 && at.Sub(p.arrivals[2]) > contact {
+	for _, c := range p.crashes {
+		if !third.IsZero() && p.sentAt[c.attempt].Sub(third) > contact {
 			late++
 		}
 	}
-	p.e.record("%d crashes; %d retries reached a backend server later than %v after the third, %d are allowed", len(p.arrivals), late, contact, retriesMax)
+	p.e.record("%d crashes; %d retries that were sent later than %v after the third backend had crashed reached one, %d are allowed", len(p.crashes), late, contact,
+		retriesMax)
 	return late <= retriesMax
 }
 
@@ -67,6 +88,9 @@
 	for n, end := 0, time.Now().Add(d); time.Now().Before(end); n++ {
 		m := p.e.machines[n%len(p.e.machines)]
 		a := send(context.Background(), m, q)
+		p.mu.Lock()
+		p.sentAt[a.id] = a.sentAt
+		p.mu.Unlock()
 		p.e.record("client at %s sent the request that crashes as %s: status %d", m.ip, a.id, a.status)
 		time.Sleep(poisonInterval)
 	}
@@ -85,18 +109,17 @@
 	mu := sync.Mutex{}
 	statuses := map[int]int{}
 	for _, m := range e.machines {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
 				body := bytes.Repeat([]byte(strconv.Itoa(n%10)), size)
 				a := send(context.Background(), m, request{method: http.MethodPost, path: path, body: body, limit: 2 * time.Second})
+				e.record("client at %s sent %s to %s (%d bytes): status %d", m.ip, a.id, path, size, a.status)
 				mu.Lock()
 				statuses[a.status]++
 				mu.Unlock()
 				time.Sleep(200 * time.Millisecond)
 			}
-		}()
+		})
 	}
 	return func() {
 		group.Wait()
@@ -108,7 +131,7 @@
 	for range 5 {
 		e.addMachine("orders")
 	}
-	p := &poison{e: e}
+	p := &poison{e: e, sentAt: map[string]time.Time{}}
 	return p, e.startAll(func(m *machine) (*backend, error) { return startBackend(e, m, answerOK, p.onRun) }, "/read/probe")
 }
 
@@ -136,14 +159,17 @@
 	p.repeat(q, 45*time.Second)
 	cancel()
 	wait()
+	if trouble && p.thirdCrash().IsZero() {
+		return false, fmt.Errorf("no three backend servers crashed")
+	}
 	return p.held(), e.running()
 }
 
-// playSplit sends a request that crashes backend servers, and splits its route after the third crash.
+// playSplit sends a request that crashes backend servers, and splits its route after the third one has crashed.
 func playSplit(e *environment, trouble bool) (bool, error) {
-	orders := route{name: "r-orders", prefix: "/orders/", kind: "non_idempotent", timeout: 2 * time.Second, service: "orders", attempts: 1}
-	print := route{name: "r-print", prefix: "/orders/print/", kind: "non_idempotent", timeout: 2 * time.Second, service: "orders", attempts: 1}
-	e.configure(1, readRoute, orders)
+	whole := route{name: "r-orders", prefix: "/orders/", kind: "non_idempotent", timeout: 2 * time.Second, service: "orders", attempts: 1}
+	part := route{name: "r-print", prefix: "/orders/print/", kind: "non_idempotent", timeout: 2 * time.Second, service: "orders", attempts: 1}
+	e.configure(1, readRoute, whole)
 	p, err := newPoisonFleet(e)
 	if err != nil {
 		return false, err
@@ -154,14 +180,14 @@
 		defer close(done)
 		p.repeat(q, 60*time.Second)
 	}()
-	for start := time.Now(); p.crashes() < 3; time.Sleep(50 * time.Millisecond) {
+	for start := time.Now(); p.thirdCrash().IsZero(); time.Sleep(50 * time.Millisecond) {
 		if time.Since(start) > 30*time.Second {
-			return false, fmt.Errorf("%d crashes", p.crashes())
+			return false, fmt.Errorf("no three backend servers crashed")
 		}
 	}
 	time.Sleep(contact + time.Second)
 	if trouble {
-		e.configure(2, readRoute, orders, print)
+		e.configure(2, readRoute, whole, part)
 	}
 	<-done
 	return p.held(), e.running()
--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -23,6 +23,7 @@
 // answer is what the client got; the status is 0 without an answer, and whole says that its body arrived to the end.
 type answer struct {
 	id     string
+	sentAt time.Time
 	status int
 	bytes  int64
 	whole  bool
@@ -38,6 +39,7 @@
 func send(ctx context.Context, m *machine, q request) answer {
 	a := answer{id: "attempt-" + strconv.FormatInt(attempts.Add(1), 10)}
 	began := time.Now()
+	a.sentAt = began
 	ctx, cancel := context.WithTimeout(ctx, q.limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+m.at(portOutbound)+q.path, bytes.NewReader(q.body))
--- a/review/standins-3/environment.go
+++ b/review/standins-3/environment.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -34,6 +35,7 @@
 	store   *store
 	server  *http.Server
 	address string
+	block   string // the first three bytes of the machines' addresses
 
 	mu       sync.Mutex
 	out      *os.File
@@ -71,6 +73,9 @@
 		store:   newStore(),
 		out:     out,
 	}
+	if e.block, err = freeBlock(); err != nil {
+		return nil, err
+	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -81,6 +86,33 @@
 	return e, nil
 }
 
+// machinesMax is the number of machines for which a block of addresses is looked for.
+const machinesMax = 9
+
+// freeBlock returns the first three bytes of loopback addresses whose ports are free.
+func freeBlock() (string, error) {
+	for range 100 {
+		block := fmt.Sprintf("127.%d.%d", 100+rand.IntN(100), 1+rand.IntN(250))
+		if isFree(block) {
+			return block, nil
+		}
+	}
+	return "", errors.New("no free block of addresses")
+}
+
+func isFree(block string) bool {
+	for n := range machinesMax {
+		for port := portInternal; port <= portBackend; port++ {
+			ln, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", block, n+1, port))
+			if err != nil {
+				return false
+			}
+			_ = ln.Close()
+		}
+	}
+	return true
+}
+
 // record writes a line with the time since the start.
 func (e *environment) record(format string, args ...any) {
 	e.mu.Lock()
@@ -119,9 +151,8 @@
 // addMachine adds a machine of the service without starting anything on it.
 func (e *environment) addMachine(service string) *machine {
 	n := len(e.machines) + 1
-	pid := os.Getpid()
 	m := &machine{
-		ip:      fmt.Sprintf("127.%d.%d.%d", 100+pid/200%100, 1+pid%200, n),
+		ip:      fmt.Sprintf("%s.%d", e.block, n),
 		zone:    fmt.Sprintf("zone-%d", 1+n%2),
 		service: service,
 	}
@@ -181,17 +212,22 @@
 	cmd := exec.Command(e.program, "sidecar")
 	cmd.Env = append(os.Environ(), "CHIVEGAUGE_SETTINGS="+path)
 	cmd.Stdout, cmd.Stderr = log, log
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return errors.New("the case is being ended")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	m.node = cmd
-	m.exited = make(chan struct{})
+	exited := make(chan struct{})
+	m.node, m.exited = cmd, exited
 	go func() {
 		_ = cmd.Wait()
 		_ = log.Close()
-		close(m.exited)
+		close(exited)
 	}()
-	e.record("node %s started", m.ip)
+	_, _ = fmt.Fprintf(e.out, "%7.3f node %s started, process %d\n", time.Since(e.began).Seconds(), m.ip, cmd.Process.Pid)
 	return nil
 }
 
